Read settings with every fault and its line

Cause: each process must stop at the start with all faults of its settings file, and the reader stood as an interface only.

Ruled out: stopping at the first fault (an operator would mend one key a start); a parser that maps to data classes (no line for an unknown key).

Change: `readSettings` over tomlj. A faulty key yields a stand-in and the reading goes on; unknown keys, wrong types, ranges, syntax and an unreadable file are reported by line. With a syntax fault, missing keys are not reported, because the parser may have skipped them.

Conclusion: processes can read their settings; the tables come on top.

--- a/tables/src/main/kotlin/io/carawaytrack/tables/SettingsReader.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/SettingsReader.kt
@@ -4,12 +4,17 @@
  */
 package io.carawaytrack.tables
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import io.carawaytrack.model.HostPort
+import java.nio.file.Path
 
 /**
  * Names one fault in a TOML file.
  *
  * @property line line in the file, counted from 1; 0 when the fault has no place in it, such as a missing key
+ * @property value what the file says, null when the key is missing
  * @property expected what is allowed
  */
 public data class Fault(
@@ -25,13 +30,13 @@
 
 /** Reads typed values of dotted keys; a fault yields a stand-in value and is reported when the reading ends. */
 public interface SettingsReader {
-    /** Reads a text; without [default] the key is required. */
+    /** Reads a text that is not blank; without [default] the key is required. */
     public fun text(
         key: String,
         default: String? = null,
     ): String
 
-    /** Reads a text that may be absent. */
+    /** Reads a text that may be absent, but not blank. */
     public fun optionalText(key: String): String?
 
     /** Reads a whole number within [allowed]. */
@@ -82,3 +87,18 @@
     /** Reads a table of texts, such as node name to address; empty when absent. */
     public fun textTable(key: String): Map<String, String>
 }
+
+/**
+ * Reads the TOML [file] through [read] and returns either what it made or every fault of the file, by line.
+ *
+ * A key that [read] did not ask for is a fault. When the syntax is at fault, missing keys are not reported, because
+ * the parser may have skipped them.
+ */
+public fun <T : Any> readSettings(
+    file: Path,
+    read: SettingsReader.() -> T,
+): Result<T, List<Fault>> {
+    val reading = readToml(file, read)
+    val value = reading.value
+    return if (value == null || reading.faults.isNotEmpty()) Err(reading.faults) else Ok(value)
+}
