Add links, leases, the request ledger and the control host's state

Cause: the modules beside this one need a transport and a state machine to meet.

Ruled out: HTTP between our own processes (no credit per stream, and a header block per message); a lease counted from the grant's arrival (a slow answer would lengthen it); exponential silence detection by TCP alone (a cut network keeps a connection open for minutes).

Change: module wire (frames, CBOR, mutual HMAC handshake, keep-alive), module membership (lease, control client), module ledger (intents, outcomes, pins, bills by organisation shard), module process (settings, graceful stop), control host's state machine and administration API, not yet wired to a replica.

Conclusion: partial on purpose; the path follows.

--- /dev/null
+++ b/ledger/src/main/kotlin/io/carawaytrack/ledger/OrganisationLedger.kt
@@ -0,0 +1,142 @@
+/*
+ * The records of one organisation and the rules by which a command changes them. The caller holds the shard's lock.
+ */
+package io.carawaytrack.ledger
+
+import io.carawaytrack.model.Bill
+import io.carawaytrack.model.ModelVersion
+import io.carawaytrack.model.OrganisationName
+import io.carawaytrack.model.RequestId
+import io.carawaytrack.model.SessionId
+import io.carawaytrack.model.VersionState
+
+internal class OrganisationLedger {
+    private val requests = LinkedHashMap<RequestId, RequestRecord>()
+    private val requestByKey = HashMap<String, RequestId>()
+    private val sessions = LinkedHashMap<SessionId, SessionPin>()
+    private val bills = LinkedHashMap<RequestId, BillRecord>()
+
+    val requestCount: Int get() = requests.size
+    val sessionCount: Int get() = sessions.size
+    val billCount: Int get() = bills.size
+
+    fun bills(): List<Bill> = bills.values.map(BillRecord::bill)
+
+    fun apply(
+        command: LedgerCommand,
+        stateOf: (ModelVersion) -> VersionState,
+    ): LedgerReply = when (command) {
+        is LedgerCommand.Begin -> begin(command, stateOf)
+        is LedgerCommand.Finish -> finish(command)
+        is LedgerCommand.Abandon -> abandon(command)
+        is LedgerCommand.Expire -> expire(command.beforeMillis)
+    }
+
+    private fun begin(
+        command: LedgerCommand.Begin,
+        stateOf: (ModelVersion) -> VersionState,
+    ): LedgerReply {
+        val earlier = earlierRequest(command)
+        if (earlier != null) return resend(command, earlier, stateOf)
+        val pin = command.session?.let(sessions::get)
+        val version = pin?.version ?: command.version
+        if (!mayRun(stateOf(version), pinned = pin != null)) return LedgerReply.VersionGone
+        if (command.session != null && pin == null) {
+            sessions[command.session] = SessionPin(command.session, version, command.atMillis)
+        }
+        record(command, version)
+        return LedgerReply.Started(command.request, version, command.session != null)
+    }
+
+    // The entry resends a Begin whose reply was lost under the same request, with or without a key.
+    private fun earlierRequest(command: LedgerCommand.Begin): RequestRecord? {
+        val request = command.key?.let(requestByKey::get) ?: command.request
+        return requests[request]
+    }
+
+    private fun resend(
+        command: LedgerCommand.Begin,
+        earlier: RequestRecord,
+        stateOf: (ModelVersion) -> VersionState,
+    ): LedgerReply {
+        val answer = earlier.answer
+        return when {
+            earlier.digest != command.digest -> LedgerReply.Conflicting
+            answer != null -> LedgerReply.Repeated(earlier.request, answer)
+            earlier.request == command.request && !earlier.finished -> started(earlier, command)
+            earlier.finished -> LedgerReply.Unknown(earlier.request)
+            earlier.repeatable && !mayRun(stateOf(earlier.version), command.session != null) -> LedgerReply.VersionGone
+            earlier.repeatable -> started(earlier, command)
+            command.atMillis - earlier.beganAtMillis < earlier.timeoutMillis -> LedgerReply.InProgress(earlier.request)
+            else -> LedgerReply.Unknown(earlier.request)
+        }
+    }
+
+    private fun started(
+        earlier: RequestRecord,
+        command: LedgerCommand.Begin,
+    ) = LedgerReply.Started(earlier.request, earlier.version, command.session != null)
+
+    private fun mayRun(
+        state: VersionState,
+        pinned: Boolean,
+    ) = state == VersionState.Serving || (pinned && state == VersionState.Draining)
+
+    private fun record(
+        command: LedgerCommand.Begin,
+        version: ModelVersion,
+    ) {
+        requests[command.request] =
+            RequestRecord(
+                request = command.request,
+                key = command.key,
+                digest = command.digest,
+                version = version,
+                repeatable = command.repeatable,
+                timeoutMillis = command.timeoutMillis,
+                beganAtMillis = command.atMillis,
+            )
+        if (command.key != null) requestByKey[command.key] = command.request
+    }
+
+    private fun finish(command: LedgerCommand.Finish): LedgerReply {
+        val record = requests[command.request]
+        val first = (command.bill == null || command.request !in bills) && record?.finished != true
+        if (record != null && !record.finished) {
+            requests[command.request] = record.copy(finished = true, answer = command.answer)
+        }
+        if (command.bill != null) bills.putIfAbsent(command.request, BillRecord(command.bill, command.atMillis))
+        return LedgerReply.Done(first)
+    }
+
+    private fun abandon(command: LedgerCommand.Abandon): LedgerReply {
+        val record = requests[command.request]
+        if (record == null || record.finished) return LedgerReply.Done(first = false)
+        forget(record)
+        return LedgerReply.Done(first = true)
+    }
+
+    private fun forget(record: RequestRecord) {
+        requests.remove(record.request)
+        if (record.key != null) requestByKey.remove(record.key, record.request)
+    }
+
+    private fun expire(beforeMillis: Long): LedgerReply {
+        requests.values.filter { it.beganAtMillis < beforeMillis }.forEach(::forget)
+        sessions.values.removeIf { it.atMillis < beforeMillis }
+        bills.values.removeIf { it.atMillis < beforeMillis }
+        return LedgerReply.Done(first = true)
+    }
+
+    fun records(organisation: OrganisationName): OrganisationRecords =
+        OrganisationRecords(organisation, requests.values.toList(), sessions.values.toList(), bills.values.toList())
+
+    fun restore(records: OrganisationRecords) {
+        records.requests.forEach { record ->
+            requests[record.request] = record
+            if (record.key != null) requestByKey[record.key] = record.request
+        }
+        records.sessions.associateByTo(sessions, SessionPin::session)
+        records.bills.associateByTo(bills) { it.bill.request }
+    }
+}
--- a/wire/src/main/kotlin/io/carawaytrack/wire/Message.kt
+++ b/wire/src/main/kotlin/io/carawaytrack/wire/Message.kt
@@ -10,6 +10,7 @@
 import io.carawaytrack.model.Announcement
 import io.carawaytrack.model.Configuration
 import io.carawaytrack.model.Failure
+import io.carawaytrack.model.HostPort
 import io.carawaytrack.model.Membership
 import io.carawaytrack.model.ModelVersion
 import io.carawaytrack.model.NodeId
@@ -59,6 +60,11 @@
     @ByteString public val proof: ByteArray,
 ) : Message
 
+/** Shows that the sender is alive on a link that is otherwise idle. */
+@Serializable
+@SerialName("pi")
+public data object Ping : Message
+
 /** Names one header of a request or an answer. */
 @Serializable
 public data class Header(
@@ -124,6 +130,13 @@
     public val load: UpstreamLoad,
 ) : Message
 
+/** Tells the agent that the request's outcome and bill are committed, so that it need not report them itself. */
+@Serializable
+@SerialName("as")
+public class AttemptSettled(
+    public val attempt: Long,
+) : Message
+
 /** Begins an answer. */
 @Serializable
 @SerialName("ah")
@@ -214,7 +227,7 @@
 @SerialName("nl")
 public class NotLeading(
     public val sequence: Long,
-    public val leader: NodeId?,
+    public val leader: HostPort?,
 ) : Message
 
 /** Asks the control host to commit a ledger command, in the ledger's own encoding. */
