Add spans, JSON-line logs, the observability port and the metrics

Cause: the binaries need one place that makes their spans, logs and metrics, and the five measures need metrics that answer them directly. Ruled out: the SDK's batch processor, whose count of dropped spans needs a second meter provider; native histograms, whose memory is not fixed; a series for each product of organisation, version and failure kind, which is split over two counters instead. Measured: nothing run yet but the build (module verify passes, no tests yet).

--- /dev/null
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/AgentMetrics.kt
@@ -0,0 +1,89 @@
+/*
+ * What an agent reports: admission to its upstream, and how the attempts that passed it went.
+ */
+package io.carawaytrack.telemetry
+
+import io.carawaytrack.model.Configuration
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Execution
+import io.carawaytrack.model.ModelVersion
+import io.carawaytrack.model.UpstreamLoad
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+
+/** Describes an ended attempt that the upstream received; [failure] is null for a complete answer. */
+public data class UpstreamAttemptEnd(
+    val version: ModelVersion,
+    val failure: ErrorKind?,
+    val execution: Execution,
+    val elapsedNanos: Long,
+)
+
+/** Records what an agent does. */
+public interface AgentMetrics {
+    /** Takes in the configuration that is in force. */
+    public fun inForce(configuration: Configuration)
+
+    /** Counts an attempt that was refused before the upstream saw it. */
+    public fun refused(kind: ErrorKind)
+
+    /** Records the time to the first byte of the upstream's answer. */
+    public fun firstByte(
+        version: ModelVersion,
+        elapsedNanos: Long,
+    )
+
+    /** Counts an ended attempt and its latency. */
+    public fun attemptEnded(end: UpstreamAttemptEnd)
+
+    /** Counts a return to slow start. */
+    public fun slowStarted()
+
+    /** Counts a request that was put into quarantine. */
+    public fun quarantined()
+}
+
+/** Registers the metrics of an agent; asks for the [load] at each scrape. */
+public fun AgentMetrics(
+    registry: PrometheusRegistry,
+    load: () -> UpstreamLoad,
+): AgentMetrics {
+    MetricCatalog.permits.watchGauge(registry) { call(load().permits.toDouble()) }
+    MetricCatalog.running.watchGauge(registry) { call(load().running.toDouble()) }
+    MetricCatalog.queuedTokens.watchGauge(registry) { call(load().queuedTokens.toDouble()) }
+    return RegisteredAgentMetrics(registry)
+}
+
+private class RegisteredAgentMetrics(
+    registry: PrometheusRegistry,
+) : AgentMetrics {
+    private val configurationMetrics = ConfigurationMetrics(registry)
+    private val group = MetricGroup(registry)
+    private val refusals = group.counter(MetricCatalog.refusals)
+    private val attempts = group.counter(MetricCatalog.agentAttempts)
+    private val attemptSeconds = group.histogram(MetricCatalog.agentAttemptSeconds)
+    private val firstByteSeconds = group.histogram(MetricCatalog.agentFirstByteSeconds)
+    private val slowStarts = MetricCatalog.slowStarts.counter(registry)
+    private val quarantines = MetricCatalog.quarantines.counter(registry)
+
+    override fun inForce(configuration: Configuration) {
+        configurationMetrics.inForce(configuration)
+        group.forget(VERSION_LABEL, versionsOf(configuration))
+    }
+
+    override fun refused(kind: ErrorKind) = refusals.of(kind.name).inc()
+
+    override fun firstByte(
+        version: ModelVersion,
+        elapsedNanos: Long,
+    ) = firstByteSeconds.of(version.toString()).observe(elapsedNanos.nanosToSeconds())
+
+    override fun attemptEnded(end: UpstreamAttemptEnd) {
+        val version = end.version.toString()
+        attempts.of(version, labelOf(end.failure), end.execution.name).inc()
+        attemptSeconds.of(version).observe(end.elapsedNanos.nanosToSeconds())
+    }
+
+    override fun slowStarted() = slowStarts.inc()
+
+    override fun quarantined() = quarantines.inc()
+}
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/Telemetry.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/Telemetry.kt
@@ -1,11 +1,26 @@
 /*
  * What a process tells about itself: Prometheus metrics, a span for each hop of a request, JSON-line logs, and the
- * port on which an operator's tools ask for health and metrics.
+ * port on which an operator's tools ask for health and metrics. This file holds the metrics registry and the spans;
+ * spans are made by the OpenTelemetry SDK and joined across processes by the W3C `traceparent` header.
  */
 package io.carawaytrack.telemetry
 
 import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.ZoneName
+import io.opentelemetry.api.common.AttributeKey
+import io.opentelemetry.api.trace.Span
+import io.opentelemetry.api.trace.StatusCode
+import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator
+import io.opentelemetry.context.Context
+import io.opentelemetry.context.propagation.TextMapGetter
+import io.opentelemetry.context.propagation.TextMapSetter
+import io.opentelemetry.sdk.trace.SdkTracerProvider
+import io.opentelemetry.sdk.trace.SpanLimits
+import io.opentelemetry.sdk.trace.samplers.Sampler
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import java.nio.file.Path
 
 /** Gives access to the metrics and spans of one process. */
 public interface Telemetry : AutoCloseable {
@@ -34,3 +49,132 @@
     /** Marks the hop as failed. */
     public fun fail(kind: ErrorKind)
 }
+
+/** Says where ended spans go. */
+public sealed interface SpanOutput {
+    /** Writes none; `traceparent` is still passed on. */
+    public data object None : SpanOutput
+
+    /** Writes each span as a message of the logger `spans`. */
+    public data object Log : SpanOutput
+
+    /** Appends each span as one line of JSON to the file at [path]. */
+    public data class JsonLines(
+        val path: Path,
+    ) : SpanOutput
+}
+
+/**
+ * Sets which spans are recorded and where they go.
+ *
+ * @property sampleRatio share of new traces that are recorded, 0 to 1; a trace begun elsewhere keeps its choice
+ * @property queueSpans ended spans that may wait to be written; any beyond are dropped and counted
+ */
+public data class TelemetrySettings(
+    val spans: SpanOutput = SpanOutput.None,
+    val sampleRatio: Double = 1.0,
+    val queueSpans: Int = 2_048,
+)
+
+/** Creates the telemetry of the process [node], with its own registry that already holds the process metrics. */
+public fun Telemetry(
+    node: NodeId,
+    role: NodeRole,
+    zone: ZoneName,
+    settings: TelemetrySettings = TelemetrySettings(),
+): Telemetry = when (val spans = settings.spans) {
+    SpanOutput.None -> Telemetry(node, role, zone, settings, sink = null)
+    SpanOutput.Log -> Telemetry(node, role, zone, settings, sink = spanLog())
+    is SpanOutput.JsonLines -> Telemetry(node, role, zone, settings, sink = LineFile(spans.path))
+}
+
+/** Creates telemetry whose spans go to [sink], one line of JSON a call, from one background thread. */
+public fun Telemetry(
+    node: NodeId,
+    role: NodeRole,
+    zone: ZoneName,
+    settings: TelemetrySettings,
+    sink: ((String) -> Unit)?,
+): Telemetry {
+    val registry = PrometheusRegistry()
+    registerProcessMetrics(registry)
+    val provider =
+        SdkTracerProvider
+            .builder()
+            .setSampler(Sampler.parentBased(Sampler.traceIdRatioBased(settings.sampleRatio)))
+            .setSpanLimits(spanLimits)
+    if (sink != null) {
+        val exporter = JsonLineSpanExporter(SpanOrigin(node, role, zone), sink)
+        provider.addSpanProcessor(QueueingSpanProcessor(exporter, settings.queueSpans, SpanMetrics(registry)))
+    }
+    return SdkTelemetry(registry, provider.build())
+}
+
+private const val ATTRIBUTES_PER_SPAN = 32
+private const val ATTRIBUTE_CHARACTERS = 1_024
+private const val TRACEPARENT = "traceparent"
+private const val SCOPE = "io.carawaytrack"
+private val errorType = AttributeKey.stringKey("error.type")
+
+private val spanLimits =
+    SpanLimits
+        .builder()
+        .setMaxNumberOfAttributes(ATTRIBUTES_PER_SPAN)
+        .setMaxAttributeValueLength(ATTRIBUTE_CHARACTERS)
+        .build()
+
+private class SdkTelemetry(
+    override val registry: PrometheusRegistry,
+    private val provider: SdkTracerProvider,
+) : Telemetry {
+    private val tracer = provider.get(SCOPE)
+
+    override fun span(
+        name: String,
+        traceparent: String?,
+        attributes: Map<String, String>,
+    ): HopSpan {
+        val builder = tracer.spanBuilder(name).setParent(parentOf(traceparent))
+        attributes.forEach { (key, value) -> builder.setAttribute(key, value) }
+        return SdkHopSpan(builder.startSpan())
+    }
+
+    override fun close() = provider.close()
+}
+
+private class SdkHopSpan(
+    private val span: Span,
+) : HopSpan {
+    override val traceparent: String by lazy { renderTraceparent(span) }
+
+    override fun attribute(
+        name: String,
+        value: String,
+    ) {
+        span.setAttribute(name, value)
+    }
+
+    override fun fail(kind: ErrorKind) {
+        span.setStatus(StatusCode.ERROR, kind.explanation).setAttribute(errorType, kind.name)
+    }
+
+    override fun close() = span.end()
+}
+
+/** Returns the context of a [traceparent], or the root context when it is missing or malformed. */
+private fun parentOf(traceparent: String?): Context =
+    W3CTraceContextPropagator.getInstance().extract(Context.root(), traceparent, TraceparentGetter)
+
+private fun renderTraceparent(span: Span): String {
+    var rendered = ""
+    val setter = TextMapSetter<Unit> { _, name, value -> if (name == TRACEPARENT) rendered = value }
+    W3CTraceContextPropagator.getInstance().inject(Context.root().with(span), Unit, setter)
+    return rendered
+}
+
+private object TraceparentGetter : TextMapGetter<String> {
+    override fun get(
+        carrier: String?,
+        key: String,
+    ): String? = carrier.takeIf { key == TRACEPARENT }
+}
