Choose the cheapest good version and the least outstanding upstream

Change: a Planner that expands included pools, filters by allowance and version state, applies roll-outs to those who would use the replaced version, and takes the cheapest version whose expected quality meets the target, else the best. UpstreamChooser moves to its own file; the interfaces are as they were, but for `Planner` and `UpstreamChooser` factories.

Decided: a roll-out's new version is held back from plain choice while the version it replaces may run for the same request, so that it gets only its share; a pinned version that has left the pool counts as withdrawn.

--- a/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
@@ -1,19 +1,18 @@
 /*
- * The two decisions that an entry takes for each request: which versions may run it and in which order (the plan), and
- * which upstream gets the next attempt (the choice). Both are pure: time, randomness and events come in as arguments.
+ * The first decision that an entry takes for each request: which versions may run it and in which order. It is pure:
+ * randomness and observations come in as arguments.
  */
 package io.carawaytrack.routing
 
 import com.github.michaelbull.result.Result
-import io.carawaytrack.model.Announcement
+import com.github.michaelbull.result.map
 import io.carawaytrack.model.Configuration
 import io.carawaytrack.model.Failure
-import io.carawaytrack.model.Membership
 import io.carawaytrack.model.ModelVersion
 import io.carawaytrack.model.Organisation
+import io.carawaytrack.model.PoolMember
 import io.carawaytrack.model.Route
-import io.carawaytrack.model.UpstreamId
-import io.carawaytrack.model.UpstreamLoad
+import kotlin.random.Random
 
 /**
  * Describes what the planner must know of a request.
@@ -80,45 +79,38 @@
     )
 }
 
-/** Describes the attempt for which an upstream is wanted; [excluded] have already refused or failed it. */
-public data class ChoiceRequest(
-    val version: ModelVersion,
-    val estimatedTokens: Long = 0,
-    val prefixHash: Long? = null,
-    val allowed: List<UpstreamId> = emptyList(),
-    val excluded: Set<UpstreamId> = emptySet(),
-)
-
-/** Chooses an upstream for each attempt, from announced load corrected by the entry's own attempts. */
-public interface UpstreamChooser {
-    /** Replaces or extends what is known of the announced upstreams; see [Membership.complete]. */
-    public fun update(membership: Membership)
+/** Creates a planner that draws roll-out shares and weights from [random]. */
+public fun Planner(random: Random): Planner = CheapestPlanner(random)
 
-    /** Takes in a load that an agent sent along with an answer or a refusal. */
-    public fun report(
-        upstream: UpstreamId,
-        load: UpstreamLoad,
-    )
-
-    /**
-     * Returns the upstream to use. Fails with `NoHealthyUpstream` when none that serves the version is in service, and
-     * with `PoolExhausted` and a retry hint when all of them are full.
-     */
-    public fun choose(
+private class CheapestPlanner(
+    private val random: Random,
+) : Planner {
+    override fun plan(
         configuration: Configuration,
-        request: ChoiceRequest,
-    ): Result<Announcement, Failure>
+        request: PlanRequest,
+    ): Result<Plan, Failure> = eligibleMembers(configuration, request).map { eligible ->
+        val chosen = if (request.pinned != null) eligible.members.first() else choose(eligible, request.route)
+        Plan(listOf(PlanStep(chosen.version)))
+    }
 
-    /** Notes that an attempt of [tokens] estimated tokens was sent to [upstream]. */
-    public fun started(
-        upstream: UpstreamId,
-        tokens: Long,
-    )
+    override fun observe(
+        route: String,
+        version: ModelVersion,
+        observation: Observation,
+    ) = Unit
 
-    /** Notes that an attempt ended; [healthy] is false when the upstream itself failed. */
-    public fun finished(
-        upstream: UpstreamId,
-        tokens: Long,
-        healthy: Boolean,
-    )
+    private fun choose(
+        eligible: EligibleMembers,
+        route: Route,
+    ): PoolMember {
+        val good = eligible.members.filter { it.expectedQuality >= route.qualityTarget }
+        val cheapest = good.minOfOrNull { it.costPerKiloToken }
+        val chosen =
+            if (cheapest == null) {
+                eligible.members.maxBy { it.expectedQuality }
+            } else {
+                byWeight(good.filter { it.costPerKiloToken == cheapest }, random)
+            }
+        return eligible.afterRollouts(chosen, random)
+    }
 }
--- /dev/null
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/PoolMembers.kt
@@ -0,0 +1,134 @@
+/*
+ * Which members of a pool may run a request: those of the pool and of the pools it includes, allowed to the
+ * organisation, in a state that takes the request, and not held back by a roll-out that has not reached them.
+ */
+package io.carawaytrack.routing
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.carawaytrack.model.Configuration
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.ModelVersion
+import io.carawaytrack.model.PoolMember
+import io.carawaytrack.model.PoolName
+import io.carawaytrack.model.Rollout
+import io.carawaytrack.model.RolloutPhase
+import io.carawaytrack.model.Tables
+import io.carawaytrack.model.VersionState
+import io.carawaytrack.model.notRun
+import kotlin.random.Random
+
+private const val WHOLE_PERCENT = 100
+
+/** Returns the members of [pool] and of every pool it includes, each version once, the nearest row first. */
+public fun Tables.membersOf(pool: PoolName): List<PoolMember> {
+    val seen = mutableSetOf<PoolName>()
+    val waiting = ArrayDeque(listOf(pool))
+    val members = LinkedHashMap<ModelVersion, PoolMember>()
+    while (waiting.isNotEmpty()) {
+        val name = waiting.removeFirst()
+        val row = pools.firstOrNull { it.name == name }
+        if (row == null || !seen.add(name)) continue
+        row.members.forEach { members.putIfAbsent(it.version, it) }
+        waiting += row.includes
+    }
+    return members.values.toList()
+}
+
+/** Holds the members that may run one request, and the roll-outs among them. */
+internal class EligibleMembers(
+    val members: List<PoolMember>,
+    private val replacements: Map<ModelVersion, Replacement>,
+) {
+    /** Returns [member] or, by the share of its roll-out, the version that replaces it. */
+    fun afterRollouts(
+        member: PoolMember,
+        random: Random,
+    ): PoolMember {
+        val replacement = replacements[member.version] ?: return member
+        return if (random.nextInt(WHOLE_PERCENT) < replacement.percent) replacement.member else member
+    }
+}
+
+/** Says which member takes [percent] of the new requests that would use another. */
+internal class Replacement(
+    val member: PoolMember,
+    val percent: Int,
+)
+
+/** Returns the members that may run [request], the pinned one alone when the request has a pin. */
+internal fun eligibleMembers(
+    configuration: Configuration,
+    request: PlanRequest,
+): Result<EligibleMembers, Failure> {
+    val members = configuration.tables.membersOf(request.route.pool)
+    if (request.pinned != null) return pinnedMember(configuration, request, request.pinned, members)
+    val allowed = members.filter { request.organisation.allows(it.version) }
+    if (allowed.isEmpty()) return Err(notAllowed(request))
+    val serving = allowed.filter { configuration.stateOf(it.version) == VersionState.Serving }
+    if (serving.isEmpty()) return Err(noneServing(request, allowed))
+    return Ok(applyRollouts(configuration.rollouts.filter { it.pool == request.route.pool }, serving))
+}
+
+/** Draws one of [members] in proportion to their weights. */
+internal fun byWeight(
+    members: List<PoolMember>,
+    random: Random,
+): PoolMember {
+    if (members.size == 1) return members.first()
+    val total = members.sumOf { it.weight.coerceAtLeast(0) }
+    if (total == 0) return members.first()
+    var left = random.nextInt(total)
+    return members.first { member ->
+        left -= member.weight.coerceAtLeast(0)
+        left < 0
+    }
+}
+
+private fun pinnedMember(
+    configuration: Configuration,
+    request: PlanRequest,
+    pinned: ModelVersion,
+    members: List<PoolMember>,
+): Result<EligibleMembers, Failure> {
+    if (!request.organisation.allows(pinned)) return Err(notAllowed(request))
+    val member = members.firstOrNull { it.version == pinned }
+    if (member == null || configuration.stateOf(pinned) == VersionState.Withdrawn) {
+        return Err(ErrorKind.SessionVersionWithdrawn.notRun("the session runs on $pinned, which is withdrawn"))
+    }
+    return Ok(EligibleMembers(listOf(member), emptyMap()))
+}
+
+private fun applyRollouts(
+    rollouts: List<Rollout>,
+    serving: List<PoolMember>,
+): EligibleMembers {
+    val byVersion = serving.associateBy { it.version }
+    val replacements = LinkedHashMap<ModelVersion, Replacement>()
+    for (rollout in rollouts) {
+        val target = byVersion[rollout.to] ?: continue
+        if (rollout.from in byVersion) replacements[rollout.from] = Replacement(target, shareOf(rollout))
+    }
+    val held = replacements.values.map { it.member.version }.toSet()
+    val direct = serving.filter { it.version !in held }
+    return EligibleMembers(direct.ifEmpty { serving }, replacements)
+}
+
+private fun shareOf(rollout: Rollout): Int = when (rollout.phase) {
+    RolloutPhase.Running, RolloutPhase.Paused -> rollout.percent
+    RolloutPhase.Completed -> WHOLE_PERCENT
+    RolloutPhase.RolledBack -> 0
+}
+
+private fun notAllowed(request: PlanRequest): Failure = ErrorKind.NotAllowed.notRun(
+    "organisation ${request.organisation.name} allows no version of pool ${request.route.pool}",
+)
+
+private fun noneServing(
+    request: PlanRequest,
+    allowed: List<PoolMember>,
+): Failure = ErrorKind.NoHealthyUpstream.notRun(
+    "pool ${request.route.pool} has ${allowed.size} allowed versions, none of them serving new requests",
+)
--- /dev/null
+++ b/routing/src/test/kotlin/io/carawaytrack/routing/UpstreamChooserTest.kt
@@ -0,0 +1,136 @@
+/*
+ * Which upstream a choice names, as tables of cases.
+ */
+package io.carawaytrack.routing
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import io.carawaytrack.model.Announcement
+import io.carawaytrack.model.Configuration
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.UpstreamId
+import io.carawaytrack.model.UpstreamLoad
+import io.carawaytrack.model.ZoneName
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import kotlin.random.Random
+
+class UpstreamChooserTest {
+    private data class Choice(
+        val name: String,
+        val upstreams: List<Announcement>,
+        val expected: String,
+        val configuration: Configuration = Configuration(),
+        val request: ChoiceRequest = ChoiceRequest(small),
+    )
+
+    private val choices =
+        listOf(
+            Choice("the least outstanding", listOf(announced("u1", queuedTokens = 9), announced("u2")), "u2"),
+            Choice(
+                "a busier local one before one elsewhere",
+                listOf(announced("u1", queuedTokens = 9), announced("u2", zone = "b")),
+                "u1",
+            ),
+            Choice(
+                "one elsewhere when the local one is full",
+                listOf(announced("u1", running = 4), announced("u2", zone = "b")),
+                "u2",
+            ),
+            Choice(
+                "none that has refused",
+                listOf(announced("u1"), announced("u2", zone = "b")),
+                "u2",
+                request = ChoiceRequest(small, excluded = setOf(UpstreamId("u1"))),
+            ),
+            Choice(
+                "none outside the member's list",
+                listOf(announced("u1"), announced("u2")),
+                "u2",
+                request = ChoiceRequest(small, allowed = listOf(UpstreamId("u2"))),
+            ),
+            Choice(
+                "none in a zone that is out",
+                listOf(announced("u1"), announced("u2", zone = "b")),
+                "u2",
+                Configuration(zonesOut = setOf(ZoneName("a"))),
+            ),
+            Choice(
+                "none that is out itself",
+                listOf(announced("u1"), announced("u2")),
+                "u2",
+                Configuration(upstreamsOut = setOf(UpstreamId("u1"))),
+            ),
+            Choice("none that is leaving", listOf(announced("u1", leaving = true), announced("u2")), "u2"),
+            Choice("only those of the version", listOf(announced("u1", version = large), announced("u2")), "u2"),
+            Choice(
+                "nothing, since all are full",
+                listOf(announced("u1", running = 4), announced("u2", permits = 0)),
+                "PoolExhausted",
+            ),
+            Choice(
+                "nothing, since none serves the version",
+                listOf(announced("u1", version = large)),
+                "NoHealthyUpstream",
+            ),
+        )
+
+    @TestFactory
+    fun `choose takes`(): List<DynamicTest> = choices.map { case ->
+        dynamicTest(case.name) {
+            val chooser = chooser()
+            chooser.update(membership(*case.upstreams.toTypedArray()))
+            expectThat(chooser.choose(case.configuration, case.request).text()).isEqualTo(case.expected)
+        }
+    }
+
+    @Test
+    fun `started attempts count against permits until they finish`() {
+        val chooser = chooser()
+        chooser.update(membership(announced("u1", permits = 1)))
+        chooser.started(UpstreamId("u1"), tokens = 10)
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("PoolExhausted")
+        chooser.finished(UpstreamId("u1"), tokens = 10, healthy = true)
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u1")
+    }
+
+    @Test
+    fun `a report replaces the announced load`() {
+        val chooser = chooser()
+        chooser.update(membership(announced("u1"), announced("u2", queuedTokens = 50)))
+        chooser.report(UpstreamId("u1"), UpstreamLoad(permits = 4, running = 1, queuedTokens = 100))
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u2")
+    }
+
+    @Test
+    fun `an exhausted pool hints when to retry`() {
+        val chooser = chooser()
+        chooser.update(membership(announced("u1", permits = 0)))
+        val hint = chooser.choose(Configuration(), ChoiceRequest(small)).fold({ null }, { it.retryAfterMillis })
+        expectThat(hint).isNotNull()
+    }
+
+    @Test
+    fun `an incomplete membership adds and a complete one replaces`() {
+        val chooser = chooser()
+        chooser.update(membership(announced("u1"), number = 1))
+        chooser.update(membership(announced("u2", queuedTokens = 5), number = 2, complete = false))
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u1")
+        chooser.update(membership(announced("u2", queuedTokens = 5), number = 3))
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u2")
+        chooser.update(membership(announced("u1"), number = 2))
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u2")
+    }
+
+    private fun chooser() = UpstreamChooser(ZoneName("a"), nowMillis = { 0 }, random = Random(1))
+
+    private fun Result<Announcement, Failure>.text(): String = fold({ it.upstream.value }, { it.kind.text() })
+
+    private fun ErrorKind.text() = name
+}
