Learn the quality of versions and plan cascades

Cause: the operator's expected quality is a guess; the cheapest plan that meets a target can only be told from ratings.

Change: estimates per route and version (binned ratings that fade, tokens, escalated answers apart), plans of one or two versions with expected cost and quality, the cheapest proven plan whose quality clears the target by 1.645 standard errors, and trials of unproven or left-out cheaper versions as a cascade on a bounded share of requests. Works out plans again after 16 observations on a route.

Interfaces: PlanRequest.startsSession, since a session's later requests are pinned to the first answer's version, so a cascade's acceptance of one easy answer must not pin the rest; Observation.Rated.escalated, since a dear version's answers to requests that a cheap one failed are worse than its answers to all.

Ruled out: mixing versions at random to meet a target on average (each plan must meet it); learning from plain choice alone (a cheap version with a low first guess would never be seen).

Measured: 41 tests of module routing pass (mvn -o -B -q -T4 -pl routing -am verify).

--- a/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
@@ -12,6 +12,8 @@
 import io.carawaytrack.model.Organisation
 import io.carawaytrack.model.PoolMember
 import io.carawaytrack.model.Route
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
 import kotlin.random.Random
 
 /**
@@ -19,12 +21,14 @@
  *
  * @property pinned version of the request's session, when it has one
  * @property estimatedTokens prompt and expected answer together
+ * @property startsSession whether later requests will be pinned to the version that answers this one
  */
 public data class PlanRequest(
     val organisation: Organisation,
     val route: Route,
     val pinned: ModelVersion? = null,
     val estimatedTokens: Long = 0,
+    val startsSession: Boolean = false,
 )
 
 /**
@@ -44,9 +48,14 @@
 
 /** Tells how an attempt ended, for the estimates of its version. */
 public sealed interface Observation {
-    /** The rating service rated an answer, from 0 to 1. */
+    /**
+     * The rating service rated an answer, from 0 to 1.
+     *
+     * @property escalated whether the answer was to a request for which a cheaper version's answer was not taken
+     */
     public data class Rated(
         val rating: Double,
+        val escalated: Boolean = false,
     ) : Observation
 
     /** The answer was complete. */
@@ -79,38 +88,86 @@
     )
 }
 
-/** Creates a planner that draws roll-out shares and weights from [random]. */
-public fun Planner(random: Random): Planner = CheapestPlanner(random)
+/**
+ * Tunes the plans.
+ *
+ * @property zScore standard errors by which a plan's quality must clear the target; 1.645 is a confidence of 95 %
+ * @property priorRatings ratings for which an operator's expected quality counts
+ * @property provenRatings ratings from which a version counts as proven on a route
+ * @property memoryRatings ratings after which an old one has lost most of its weight
+ * @property newVersionShare share of requests, 0 to 1, that try versions which are not proven yet
+ * @property recheckShare share of requests, 0 to 1, that try proven versions which the plan leaves out
+ * @property unratedLimit requests that a tried version may get before another rating has come in
+ * @property cascades whether a plan may have two steps
+ */
+public data class PlannerSettings(
+    val zScore: Double = 1.645,
+    val priorRatings: Double = 10.0,
+    val provenRatings: Int = 30,
+    val memoryRatings: Int = 500,
+    val newVersionShare: Double = 0.1,
+    val recheckShare: Double = 0.01,
+    val unratedLimit: Int = 60,
+    val cascades: Boolean = true,
+)
+
+/** Creates a planner that draws roll-out shares, weights and trials from [random]; it may be shared by threads. */
+public fun Planner(
+    random: Random,
+    settings: PlannerSettings = PlannerSettings(),
+): Planner = LearningPlanner(LockedRandom(random), settings)
 
-private class CheapestPlanner(
+private class LearningPlanner(
     private val random: Random,
+    private val settings: PlannerSettings,
 ) : Planner {
+    private val shards = List(SHARD_COUNT) { PlannerShard(settings, random) }
+
     override fun plan(
         configuration: Configuration,
         request: PlanRequest,
     ): Result<Plan, Failure> = eligibleMembers(configuration, request).map { eligible ->
-        val chosen = if (request.pinned != null) eligible.members.first() else choose(eligible, request.route)
-        Plan(listOf(PlanStep(chosen.version)))
+        if (request.pinned != null) {
+            Plan(listOf(PlanStep(request.pinned)))
+        } else {
+            eligible.afterRollouts(shardOf(request.route.name).plan(request, eligible.members), random)
+        }
     }
 
     override fun observe(
         route: String,
         version: ModelVersion,
         observation: Observation,
-    ) = Unit
-
-    private fun choose(
-        eligible: EligibleMembers,
-        route: Route,
-    ): PoolMember {
-        val good = eligible.members.filter { it.expectedQuality >= route.qualityTarget }
-        val cheapest = good.minOfOrNull { it.costPerKiloToken }
-        val chosen =
-            if (cheapest == null) {
-                eligible.members.maxBy { it.expectedQuality }
-            } else {
-                byWeight(good.filter { it.costPerKiloToken == cheapest }, random)
-            }
-        return eligible.afterRollouts(chosen, random)
+    ) = shardOf(route).observe(route, version, observation)
+
+    private fun shardOf(route: String) = shards[shardIndex(route, SHARD_COUNT)]
+}
+
+private class PlannerShard(
+    private val settings: PlannerSettings,
+    private val random: Random,
+) {
+    private val lock = ReentrantLock()
+    private val routes = HashMap<String, RouteEstimates>()
+
+    fun plan(
+        request: PlanRequest,
+        members: List<PoolMember>,
+    ): Plan = lock.withLock {
+        val estimates = estimatesOf(request.route.name)
+        val choice = estimates.choice(PlanKey(members, request.route.qualityTarget, !request.startsSession))
+        val steps = if (request.startsSession) choice.best(random) else choice.draw(random, settings)
+        steps.forEach { estimates.of(it.version).unrated++ }
+        Plan(steps)
     }
+
+    fun observe(
+        route: String,
+        version: ModelVersion,
+        observation: Observation,
+    ) = lock.withLock { estimatesOf(route).observe(version, observation) }
+
+    private fun estimatesOf(route: String) = routes.getOrPut(route) { RouteEstimates(settings) }
 }
+
+private const val SHARD_COUNT = 16
--- a/routing/src/main/kotlin/io/carawaytrack/routing/PoolMembers.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/PoolMembers.kt
@@ -42,19 +42,24 @@
     val members: List<PoolMember>,
     private val replacements: Map<ModelVersion, Replacement>,
 ) {
-    /** Returns [member] or, by the share of its roll-out, the version that replaces it. */
+    /** Returns [plan] with each step's version replaced by the share of its roll-out. */
     fun afterRollouts(
-        member: PoolMember,
+        plan: Plan,
         random: Random,
-    ): PoolMember {
-        val replacement = replacements[member.version] ?: return member
-        return if (random.nextInt(WHOLE_PERCENT) < replacement.percent) replacement.member else member
+    ): Plan = Plan(plan.steps.map { it.copy(version = afterRollout(it.version, random)) })
+
+    private fun afterRollout(
+        version: ModelVersion,
+        random: Random,
+    ): ModelVersion {
+        val replacement = replacements[version] ?: return version
+        return if (random.nextInt(WHOLE_PERCENT) < replacement.percent) replacement.version else version
     }
 }
 
-/** Says which member takes [percent] of the new requests that would use another. */
+/** Says which version takes [percent] of the new requests that would use another. */
 internal class Replacement(
-    val member: PoolMember,
+    val version: ModelVersion,
     val percent: Int,
 )
 
@@ -105,13 +110,16 @@
     rollouts: List<Rollout>,
     serving: List<PoolMember>,
 ): EligibleMembers {
-    val byVersion = serving.associateBy { it.version }
+    val versions = serving.map { it.version }.toSet()
     val replacements = LinkedHashMap<ModelVersion, Replacement>()
     for (rollout in rollouts) {
-        val target = byVersion[rollout.to] ?: continue
-        if (rollout.from in byVersion) replacements[rollout.from] = Replacement(target, shareOf(rollout))
+        if (rollout.to in versions &&
+            rollout.from in versions
+        ) {
+            replacements[rollout.from] = Replacement(rollout.to, shareOf(rollout))
+        }
     }
-    val held = replacements.values.map { it.member.version }.toSet()
+    val held = replacements.values.map { it.version }.toSet()
     val direct = serving.filter { it.version !in held }
     return EligibleMembers(direct.ifEmpty { serving }, replacements)
 }
--- a/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamChooser.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamChooser.kt
@@ -78,7 +78,7 @@
     nowMillis: () -> Long,
     random: Random,
     settings: ChooserSettings = ChooserSettings(),
-): UpstreamChooser = LeastOutstandingChooser(zone, random, settings, UpstreamTable(nowMillis))
+): UpstreamChooser = LeastOutstandingChooser(zone, LockedRandom(random), settings, UpstreamTable(nowMillis))
 
 private class LeastOutstandingChooser(
     private val zone: ZoneName,
--- a/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamTable.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamTable.kt
@@ -4,7 +4,6 @@
  */
 package io.carawaytrack.routing
 
-import com.dynatrace.hash4j.hashing.Hashing
 import io.carawaytrack.model.Announcement
 import io.carawaytrack.model.Membership
 import io.carawaytrack.model.UpstreamId
@@ -63,10 +62,7 @@
     fun candidates(accepts: (Announcement) -> Boolean): List<UpstreamView> =
         buildList { shards.forEach { it.addTo(this, accepts) } }
 
-    private fun shardOf(upstream: UpstreamId): Shard {
-        val hash = Hashing.wyhashFinal4().hashCharsToLong(upstream.value)
-        return shards[Math.floorMod(hash, SHARD_COUNT)]
-    }
+    private fun shardOf(upstream: UpstreamId): Shard = shards[shardIndex(upstream.value, SHARD_COUNT)]
 }
 
 private class Shard {
--- /dev/null
+++ b/routing/src/test/kotlin/io/carawaytrack/routing/LearningPlannerTest.kt
@@ -0,0 +1,98 @@
+/*
+ * What a planner makes of ratings, failures and versions that it has not seen yet.
+ */
+package io.carawaytrack.routing
+
+import com.github.michaelbull.result.getOrElse
+import io.carawaytrack.model.ModelVersion
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.random.Random
+
+class LearningPlannerTest {
+    private val configuration = draftConfiguration(smallMember, largeMember)
+
+    private data class Learning(
+        val name: String,
+        val smallRatings: List<Double>,
+        val expected: List<ModelVersion>,
+        val startsSession: Boolean = false,
+    )
+
+    private val mixed = List(120) { if (it % 4 == 0) 0.3 else 0.95 }
+
+    private val learnings =
+        listOf(
+            Learning("the cheap version alone when it is rated above the target", List(60) { 0.9 }, listOf(small)),
+            Learning("a cascade when a good share of the cheap answers will do", mixed, listOf(small, large)),
+            Learning("the dear version when a session starts on what needs a cascade", mixed, listOf(large), true),
+            Learning("the dear version when no cheap answer will do", List(120) { 0.2 }, listOf(large)),
+            Learning("the dear version while the cheap one has few ratings", List(3) { 0.9 }, listOf(large)),
+        )
+
+    @TestFactory
+    fun `the usual plan is`(): List<DynamicTest> = learnings.map { case ->
+        dynamicTest(case.name) {
+            val planner = Planner(Random(3), PlannerSettings(newVersionShare = 0.0, recheckShare = 0.0))
+            repeat(200) { planner.observe("draft", large, Observation.Rated(0.94 + it % 2 * 0.02)) }
+            case.smallRatings.forEach { planner.observe("draft", small, Observation.Rated(it)) }
+            expectThat(planner.versions(case.startsSession)).isEqualTo(case.expected)
+        }
+    }
+
+    @Test
+    fun `a version that starts to fail is left`() {
+        val planner = Planner(Random(3), PlannerSettings(newVersionShare = 0.0, recheckShare = 0.0))
+        repeat(200) { planner.observe("draft", large, Observation.Rated(0.95)) }
+        repeat(200) { planner.observe("draft", small, Observation.Rated(0.9)) }
+        expectThat(planner.versions()).isEqualTo(listOf(small))
+        repeat(30) { planner.observe("draft", small, Observation.Failed) }
+        expectThat(planner.versions().last()).isEqualTo(large)
+    }
+
+    @Test
+    fun `an unproven version is tried on a bounded share, ahead of a version that will do`() {
+        val planner = Planner(Random(3), PlannerSettings(newVersionShare = 0.1))
+        repeat(60) { planner.observe("draft", large, Observation.Rated(0.95)) }
+        val plans = List(300) { planner.versions() }
+        val tried = plans.filter { small in it }
+        expectThat(tried.size).isIn(10..60)
+        expectThat(tried.count { it.last() != large }).isEqualTo(0)
+    }
+
+    @Test
+    fun `trials stop while no rating comes in`() {
+        val planner = Planner(Random(3), PlannerSettings(newVersionShare = 0.5, unratedLimit = 20))
+        repeat(60) { planner.observe("draft", large, Observation.Rated(0.95)) }
+        val tried =
+            (1..2_000).count {
+                planner.observe("draft", large, Observation.Completed(latencyMillis = 10, tokens = 100))
+                small in planner.versions()
+            }
+        expectThat(tried).isGreaterThan(0).isLessThanOrEqualTo(20 + 16)
+    }
+
+    @Test
+    fun `members of equal price share by weight`() {
+        val members = arrayOf(smallMember.copy(weight = 3), smallNextMember.copy(costPerKiloToken = 1.0, weight = 1))
+        val planner = Planner(Random(3))
+        val request = PlanRequest(organisation("*@*"), draftRoute(target = 0.6))
+        val plans = List(1_000) { planner.plan(draftConfiguration(*members), request).getOrElse { error(it.detail) } }
+        expectThat(plans.count { it.steps.first().version == small }).isIn(690..810)
+    }
+
+    private fun Planner.versions(startsSession: Boolean = false): List<ModelVersion> {
+        val request = PlanRequest(organisation("*@*"), draftRoute(target = 0.85), startsSession = startsSession)
+        return plan(
+            configuration,
+            request,
+        ).getOrElse { error("expected a plan, got ${it.detail}") }.steps.map { it.version }
+    }
+}
