--- a/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
@@ -1,31 +1,34 @@
 /*
- * The two decisions that an entry takes for each request: which versions may run it and in which order (the plan), and
- * which upstream gets the next attempt (the choice). Both are pure: time, randomness and events come in as arguments.
+ * The first decision that an entry takes for each request: which versions may run it and in which order. It is pure:
+ * randomness and observations come in as arguments.
  */
 package io.carawaytrack.routing
 
 import com.github.michaelbull.result.Result
-import io.carawaytrack.model.Announcement
+import com.github.michaelbull.result.map
 import io.carawaytrack.model.Configuration
 import io.carawaytrack.model.Failure
-import io.carawaytrack.model.Membership
 import io.carawaytrack.model.ModelVersion
 import io.carawaytrack.model.Organisation
+import io.carawaytrack.model.PoolMember
 import io.carawaytrack.model.Route
-import io.carawaytrack.model.UpstreamId
-import io.carawaytrack.model.UpstreamLoad
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+import kotlin.random.Random
 
 /**
  * Describes what the planner must know of a request.
  *
  * @property pinned version of the request's session, when it has one
  * @property estimatedTokens prompt and expected answer together
+ * @property startsSession whether later requests will be pinned to the version that answers this one
  */
 public data class PlanRequest(
     val organisation: Organisation,
     val route: Route,
     val pinned: ModelVersion? = null,
     val estimatedTokens: Long = 0,
+    val startsSession: Boolean = false,
 )
 
 /**
@@ -45,9 +48,14 @@
 
 /** Tells how an attempt ended, for the estimates of its version. */
 public sealed interface Observation {
-    /** The rating service rated an answer, from 0 to 1. */
+    /**
+     * The rating service rated an answer, from 0 to 1.
+     *
+     * @property escalated whether the answer was to a request for which a cheaper version's answer was not taken
+     */
     public data class Rated(
         val rating: Double,
+        val escalated: Boolean = false,
     ) : Observation
 
     /** The answer was complete. */
@@ -80,45 +88,86 @@
     )
 }
 
-/** Describes the attempt for which an upstream is wanted; [excluded] have already refused or failed it. */
-public data class ChoiceRequest(
-    val version: ModelVersion,
-    val estimatedTokens: Long = 0,
-    val prefixHash: Long? = null,
-    val allowed: List<UpstreamId> = emptyList(),
-    val excluded: Set<UpstreamId> = emptySet(),
+/**
+ * Tunes the plans.
+ *
+ * @property zScore standard errors by which a plan's quality must clear the target; 1.645 is a confidence of 95 %
+ * @property priorRatings ratings for which an operator's expected quality counts
+ * @property provenRatings ratings from which a version counts as proven on a route
+ * @property memoryRatings ratings after which an old one has lost most of its weight
+ * @property newVersionShare share of requests, 0 to 1, that try versions which are not proven yet
+ * @property recheckShare share of requests, 0 to 1, that try proven versions which the plan leaves out
+ * @property unratedLimit requests that a tried version may get before another rating has come in
+ * @property cascades whether a plan may have two steps
+ */
+public data class PlannerSettings(
+    val zScore: Double = 1.645,
+    val priorRatings: Double = 10.0,
+    val provenRatings: Int = 30,
+    val memoryRatings: Int = 500,
+    val newVersionShare: Double = 0.1,
+    val recheckShare: Double = 0.01,
+    val unratedLimit: Int = 60,
+    val cascades: Boolean = true,
 )
 
-/** Chooses an upstream for each attempt, from announced load corrected by the entry's own attempts. */
-public interface UpstreamChooser {
-    /** Replaces or extends what is known of the announced upstreams; see [Membership.complete]. */
-    public fun update(membership: Membership)
+/** Creates a planner that draws roll-out shares, weights and trials from [random]; it may be shared by threads. */
+public fun Planner(
+    random: Random,
+    settings: PlannerSettings = PlannerSettings(),
+): Planner = LearningPlanner(LockedRandom(random), settings)
 
-    /** Takes in a load that an agent sent along with an answer or a refusal. */
-    public fun report(
-        upstream: UpstreamId,
-        load: UpstreamLoad,
-    )
+private class LearningPlanner(
+    private val random: Random,
+    private val settings: PlannerSettings,
+) : Planner {
+    private val shards = List(SHARD_COUNT) { PlannerShard(settings, random) }
 
-    /**
-     * Returns the upstream to use. Fails with `NoHealthyUpstream` when none that serves the version is in service, and
-     * with `PoolExhausted` and a retry hint when all of them are full.
-     */
-    public fun choose(
+    override fun plan(
         configuration: Configuration,
-        request: ChoiceRequest,
-    ): Result<Announcement, Failure>
+        request: PlanRequest,
+    ): Result<Plan, Failure> = eligibleMembers(configuration, request).map { eligible ->
+        if (request.pinned != null) {
+            Plan(listOf(PlanStep(request.pinned)))
+        } else {
+            eligible.afterRollouts(shardOf(request.route.name).plan(request, eligible.members), random)
+        }
+    }
 
-    /** Notes that an attempt of [tokens] estimated tokens was sent to [upstream]. */
-    public fun started(
-        upstream: UpstreamId,
-        tokens: Long,
-    )
+    override fun observe(
+        route: String,
+        version: ModelVersion,
+        observation: Observation,
+    ) = shardOf(route).observe(route, version, observation)
 
-    /** Notes that an attempt ended; [healthy] is false when the upstream itself failed. */
-    public fun finished(
-        upstream: UpstreamId,
-        tokens: Long,
-        healthy: Boolean,
-    )
+    private fun shardOf(route: String) = shards[shardIndex(route, SHARD_COUNT)]
 }
+
+private class PlannerShard(
+    private val settings: PlannerSettings,
+    private val random: Random,
+) {
+    private val lock = ReentrantLock()
+    private val routes = HashMap<String, RouteEstimates>()
+
+    fun plan(
+        request: PlanRequest,
+        members: List<PoolMember>,
+    ): Plan = lock.withLock {
+        val estimates = estimatesOf(request.route.name)
+        val choice = estimates.choice(PlanKey(members, request.route.qualityTarget, !request.startsSession))
+        val steps = if (request.startsSession) choice.best(random) else choice.draw(random, settings)
+        steps.forEach { estimates.of(it.version).unrated++ }
+        Plan(steps)
+    }
+
+    fun observe(
+        route: String,
+        version: ModelVersion,
+        observation: Observation,
+    ) = lock.withLock { estimatesOf(route).observe(version, observation) }
+
+    private fun estimatesOf(route: String) = routes.getOrPut(route) { RouteEstimates(settings) }
+}
+
+private const val SHARD_COUNT = 16
