Add the agent and the entry

Cause: the path needs its two gates: the entry that decides and the agent that checks again before the upstream.

Ruled out: Netty as the callers' server (its read timeout is per read, so a slow sender of headers is never bounded; CIO bounds the whole header); running the work in the call's own coroutine (a caller that goes away would cancel a reservation halfway).

Change: agent (gate, credit, attempts, settlement of outcomes) and entry (routes, plan, dispatch, ledger, streams). Single processes only, not yet run together.

--- /dev/null
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/AgentSettings.kt
@@ -0,0 +1,57 @@
+/*
+ * The settings file of an agent.
+ */
+package io.carawaytrack.agent
+
+import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.ModelVersion
+import io.carawaytrack.model.ServiceKind
+import io.carawaytrack.model.UpstreamId
+import io.carawaytrack.process.ProcessSettings
+import io.carawaytrack.process.processSettings
+import io.carawaytrack.tables.SettingsReader
+
+/**
+ * Holds the settings of an agent.
+ *
+ * @property upstreamAddress address of the upstream beside this agent
+ * @property linkAddress address on which entries connect
+ * @property versions what the upstream serves
+ * @property maxPermits requests that the upstream bears at once when it is warm
+ * @property settleMillis time after which the agent itself commits an outcome that no entry has settled
+ */
+internal data class AgentSettings(
+    val process: ProcessSettings,
+    val upstream: UpstreamId,
+    val upstreamAddress: HostPort,
+    val kind: ServiceKind,
+    val versions: List<ModelVersion>,
+    val linkAddress: HostPort,
+    val control: List<HostPort>,
+    val maxPermits: Int,
+    val settleMillis: Long,
+)
+
+private const val MODEL_KIND = "model"
+private const val DEFAULT_PERMITS = 32
+private const val MOST_PERMITS = 100_000
+private const val DEFAULT_SETTLE_MILLIS = 10_000L
+private const val LONGEST_SETTLE_MILLIS = 3_600_000L
+
+internal fun SettingsReader.agentSettings(): AgentSettings {
+    val kind = choice("upstream.kind", setOf(MODEL_KIND, "service"), MODEL_KIND)
+    return AgentSettings(
+        process = processSettings(),
+        upstream = UpstreamId(text("upstream.id")),
+        upstreamAddress = address("upstream.address"),
+        kind = if (kind == MODEL_KIND) ServiceKind.Model else ServiceKind.Service,
+        versions = textList("upstream.versions").map(::servedVersion),
+        linkAddress = address("link_address"),
+        control = addressList("control_addresses"),
+        maxPermits = int("upstream.max_permits", 1..MOST_PERMITS, DEFAULT_PERMITS),
+        settleMillis = long("settle_millis", 0..LONGEST_SETTLE_MILLIS, DEFAULT_SETTLE_MILLIS),
+    )
+}
+
+// A plain service has no versions of its own; it is named alone.
+private fun servedVersion(text: String) = ModelVersion.parse(text) ?: ModelVersion(text, ModelVersion.SERVICE_VERSION)
--- /dev/null
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
@@ -0,0 +1,103 @@
+/*
+ * Sends an attempt to the upstream over HTTP and hands out its answer in parts.
+ */
+package io.carawaytrack.agent
+
+import io.carawaytrack.model.HostPort
+import io.carawaytrack.wire.Header
+import io.carawaytrack.wire.OpenAttempt
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.request.header
+import io.ktor.client.request.prepareRequest
+import io.ktor.client.request.setBody
+import io.ktor.client.request.url
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpMethod
+import io.ktor.http.content.ByteArrayContent
+import io.ktor.util.flattenEntries
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readAvailable
+
+private const val CHUNK_BYTES = 16 * 1024
+private const val CONNECTIONS = 10_000
+
+private val hopByHop =
+    setOf("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "content-length", "host")
+
+/** Receives the parts of an upstream's answer in order. */
+internal interface AnswerSink {
+    suspend fun head(
+        status: Int,
+        headers: List<Header>,
+    )
+
+    suspend fun chunk(bytes: ByteArray)
+}
+
+/** Runs an attempt on the upstream; throws `IOException` when the connection fails or breaks. */
+internal typealias RunUpstream = suspend (attempt: OpenAttempt, sink: AnswerSink) -> Unit
+
+internal class UpstreamClient(
+    private val upstream: HostPort,
+) : AutoCloseable {
+    private val client =
+        HttpClient(CIO) {
+            expectSuccess = false
+            followRedirects = false
+            engine {
+                requestTimeout = 0
+                maxConnectionsCount = CONNECTIONS
+                endpoint { maxConnectionsPerRoute = CONNECTIONS }
+            }
+        }
+
+    suspend fun run(
+        attempt: OpenAttempt,
+        sink: AnswerSink,
+    ) {
+        val request =
+            client.prepareRequest {
+                method = HttpMethod.parse(attempt.method)
+                url("http://$upstream${attempt.path}")
+                attempt.headers.filter(::forwarded).forEach { header(it.name, it.value) }
+                header(REQUEST_ID_HEADER, attempt.request.value)
+                attempt.traceparent?.let { header("traceparent", it) }
+                if (attempt.body.isNotEmpty()) setBody(ByteArrayContent(attempt.body))
+            }
+        request.execute { response -> relay(response, sink) }
+    }
+
+    private suspend fun relay(
+        response: HttpResponse,
+        sink: AnswerSink,
+    ) {
+        val headers = response.headers.flattenEntries().map { (name, value) -> Header(name, value) }
+        sink.head(response.status.value, headers.filterNot { it.name.lowercase() in hopByHop })
+        copy(response.bodyAsChannel(), sink)
+    }
+
+    private suspend fun copy(
+        body: ByteReadChannel,
+        sink: AnswerSink,
+    ) {
+        val buffer = ByteArray(CHUNK_BYTES)
+        while (true) {
+            val count = body.readAvailable(buffer)
+            if (count < 0) return
+            if (count > 0) sink.chunk(buffer.copyOf(count))
+        }
+    }
+
+    private fun forwarded(header: Header): Boolean {
+        val name = header.name.lowercase()
+        return name !in hopByHop && name != HttpHeaders.Authorization.lowercase() && name != "traceparent"
+    }
+
+    override fun close(): Unit = client.close()
+}
+
+internal const val REQUEST_ID_HEADER = "X-Request-Id"
--- /dev/null
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Finish.kt
@@ -0,0 +1,86 @@
+/*
+ * The end of a request: one outcome and one bill in the ledger, however many attempts it took.
+ */
+package io.carawaytrack.entry
+
+import io.carawaytrack.ledger.LedgerCommand
+import io.carawaytrack.ledger.MAX_STORED_ANSWER_BYTES
+import io.carawaytrack.ledger.StoredAnswer
+import io.carawaytrack.model.Bill
+import io.carawaytrack.routing.Observation
+import io.carawaytrack.routing.Planner
+
+private const val TOKENS_PER_KILO_TOKEN = 1_000.0
+private const val LOWEST_ERROR_STATUS = 400
+
+internal class Finish(
+    private val request: CallerRequest,
+    private val ledger: LedgerClient,
+    private val planner: Planner,
+    private val wallClockMillis: () -> Long,
+    private val nowMillis: () -> Long,
+) {
+    private val discarded = mutableListOf<Answer>()
+    private val startedAtMillis = nowMillis()
+
+    /** Notes an answer that was not taken; from now on this entry alone answers for the outcome of the request. */
+    suspend fun discard(answer: Answer) {
+        discarded += answer
+        answer.settled()
+    }
+
+    /** Records [answer] with its [body]; for a request with a key, waits until a resend would find it. */
+    suspend fun complete(
+        answer: Answer,
+        body: ByteArray?,
+    ) {
+        observe(answer)
+        val command = command(answer, body)
+        if (request.idempotencyKey == null) return ledger.finishLater(command) { answer.settled() }
+        if (ledger.finish(command)) answer.settled()
+    }
+
+    private fun observe(answer: Answer) {
+        val tokens = answer.usage.promptTokens + answer.usage.answerTokens
+        val observation = Observation.Completed(nowMillis() - startedAtMillis, tokens)
+        planner.observe(request.route.name, answer.version, observation)
+    }
+
+    private fun command(
+        answer: Answer,
+        body: ByteArray?,
+    ): LedgerCommand.Finish = LedgerCommand.Finish(
+        organisation = request.organisation.name,
+        request = request.id,
+        answer = if (request.idempotencyKey == null) null else stored(answer, body),
+        bill = if (answer.head.status >= LOWEST_ERROR_STATUS) null else bill(discarded + answer),
+        atMillis = wallClockMillis(),
+    )
+
+    private fun stored(
+        answer: Answer,
+        body: ByteArray?,
+    ) = StoredAnswer(
+        status = answer.head.status,
+        contentType = answer.head.contentType,
+        body = body?.takeIf { it.size <= MAX_STORED_ANSWER_BYTES },
+        version = answer.version,
+    )
+
+    private fun bill(answers: List<Answer>) = Bill(
+        request = request.id,
+        organisation = request.organisation.name,
+        attempts = answers.map(Answer::version),
+        promptTokens = answers.sumOf { it.usage.promptTokens },
+        answerTokens = answers.sumOf { it.usage.answerTokens },
+        cost = answers.sumOf(::cost),
+    )
+
+    private fun cost(answer: Answer): Double {
+        val tokens = answer.usage.promptTokens + answer.usage.answerTokens
+        return tokens / TOKENS_PER_KILO_TOKEN * answer.member.costPerKiloToken
+    }
+}
+
+internal val AnswerEvent.Head.contentType: String?
+    get() = headers.find { it.name.equals("content-type", ignoreCase = true) }?.value
--- /dev/null
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/RatingClient.kt
@@ -0,0 +1,69 @@
+/*
+ * Asks the platform's rating service for the quality of an answer. A rating that fails or comes late counts as none.
+ */
+package io.carawaytrack.entry
+
+import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.ModelVersion
+import io.carawaytrack.model.RequestId
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import java.io.IOException
+
+private val logger = KotlinLogging.logger {}
+
+private const val RATING_TIMEOUT_MILLIS = 2_000L
+
+@Serializable
+private data class RatingRequest(
+    val request: String,
+    val model: String,
+    val version: String,
+    val answer: String,
+)
+
+@Serializable
+private data class RatingReply(
+    val rating: Double,
+)
+
+internal class RatingClient(
+    private val address: HostPort,
+) : AutoCloseable {
+    private val client = HttpClient(CIO)
+    private val json = Json { ignoreUnknownKeys = true }
+
+    suspend fun rate(
+        request: RequestId,
+        version: ModelVersion,
+        answer: ByteArray,
+    ): Double? {
+        val body = RatingRequest(request.value, version.model, version.version, answer.decodeToString())
+        return try {
+            withTimeoutOrNull(RATING_TIMEOUT_MILLIS) { ask(json.encodeToString(body)) }
+        } catch (broken: IOException) {
+            logger.debug { "no rating: ${broken.message}" }
+            null
+        }
+    }
+
+    private suspend fun ask(body: String): Double? {
+        val response =
+            client.post("http://$address/rate") {
+                contentType(ContentType.Application.Json)
+                setBody(body)
+            }
+        return runCatching { json.decodeFromString<RatingReply>(response.bodyAsText()).rating }.getOrNull()
+    }
+
+    override fun close(): Unit = client.close()
+}
--- a/ledger/src/main/kotlin/io/carawaytrack/ledger/LedgerMessage.kt
+++ b/ledger/src/main/kotlin/io/carawaytrack/ledger/LedgerMessage.kt
@@ -87,6 +87,9 @@
     public val version: ModelVersion,
 )
 
+/** Largest body that the ledger keeps for a resend, in bytes. */
+public const val MAX_STORED_ANSWER_BYTES: Int = 64 * 1024
+
 /** Answers a [LedgerCommand]. */
 @Serializable
 public sealed interface LedgerReply {
--- a/membership/src/main/kotlin/io/carawaytrack/membership/ControlClient.kt
+++ b/membership/src/main/kotlin/io/carawaytrack/membership/ControlClient.kt
@@ -58,6 +58,9 @@
     /** Lease under which this process places new work. */
     public val lease: Lease
 
+    /** Begins to look for the leading control host. */
+    public fun start()
+
     /** Sends a heartbeat now instead of at the next interval, for news that should not wait. */
     public fun hurry()
 
@@ -84,11 +87,11 @@
     val onMembership: (Membership) -> Unit = {},
 )
 
-/** Creates a client of the control hosts at [addresses] and starts it. */
+/** Creates a client of the control hosts at [addresses]; it does nothing until it is started. */
 public fun ControlClient(
     addresses: List<HostPort>,
     ports: ControlClientPorts,
-): ControlClient = ReconnectingControlClient(addresses, ports).also(ReconnectingControlClient::start)
+): ControlClient = ReconnectingControlClient(addresses, ports)
 
 private class ReconnectingControlClient(
     private val addresses: List<HostPort>,
@@ -106,7 +109,7 @@
     override val configuration: Configuration get() = held.get()
     override val lease: Lease get() = renewable
 
-    fun start() {
+    override fun start() {
         scope.launch { stayConnected() }
     }
 
--- a/model/src/main/kotlin/io/carawaytrack/model/ErrorKind.kt
+++ b/model/src/main/kotlin/io/carawaytrack/model/ErrorKind.kt
@@ -39,6 +39,7 @@
     ConflictingReuse(409, false, "the idempotency key was used before with another request"),
     InProgress(409, true, "a request with this idempotency key is still running"),
     OutcomeUnknown(409, false, "the request may have run; it is not run again"),
+    AnswerNotKept(409, false, "the request ran; its answer is too large to be kept for a resend"),
     VersionConflict(409, false, "another change was accepted first"),
     BodyTooLarge(413, false, "the body is over the limit"),
     InvalidTables(422, false, "the tables contain faults"),
--- /dev/null
+++ b/process/src/main/kotlin/io/carawaytrack/process/ProcessTelemetry.kt
@@ -0,0 +1,18 @@
+/*
+ * Opens what a process tells about itself, as its settings say.
+ */
+package io.carawaytrack.process
+
+import io.carawaytrack.model.NodeRole
+import io.carawaytrack.telemetry.SpanOutput
+import io.carawaytrack.telemetry.Telemetry
+import io.carawaytrack.telemetry.TelemetrySettings
+import io.carawaytrack.telemetry.installJsonLogs
+import io.github.oshai.kotlinlogging.Level
+
+/** Installs JSON-line logs and returns the process's metrics and spans. */
+public fun ProcessSettings.openTelemetry(role: NodeRole): Telemetry {
+    installJsonLogs(node, role, zone, Level.valueOf(logLevel.uppercase()))
+    val spans = spansFile?.let(SpanOutput::JsonLines) ?: SpanOutput.None
+    return Telemetry(node, role, zone, TelemetrySettings(spans = spans))
+}
--- a/wire/src/main/kotlin/io/carawaytrack/wire/Message.kt
+++ b/wire/src/main/kotlin/io/carawaytrack/wire/Message.kt
@@ -101,6 +101,7 @@
     @ByteString public val body: ByteArray,
     public val fingerprint: Long = 0,
     public val estimatedTokens: Long = 0,
+    public val costPerKiloToken: Double = 0.0,
     public val timeoutMillis: Long,
     public val creditBytes: Long,
     public val traceparent: String? = null,
