Add the log store and a first replicated log over it

Cause: the control hosts need durable state that survives the loss of a minority, and no outside store or ready-made consensus library may be used.

Ruled out: truncating segments in place (a suffix is replaced by appending entries with lower indices, so a written byte never changes); a separate write-ahead file for term and vote (an atomic replace is enough, since both change only in elections).

Change: module storage with the disk interface, a locked folder and a checksummed segment log; module consensus with a pure core, a driver that syncs once a turn, and a threaded replica.

--- /dev/null
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Replication.kt
@@ -0,0 +1,189 @@
+/*
+ * How a leader brings every other member to its own log: batches of entries, several in flight; a search for the last
+ * common entry after a rejection; and the snapshot, chunk by chunk, where the entries are no longer kept. Lost messages
+ * are noticed by the next heartbeat, which names the last entry sent and is rejected by a member that lacks it.
+ */
+package io.carawaytrack.consensus
+
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.storage.LogEntry
+import io.carawaytrack.storage.StoredSnapshot
+import io.carawaytrack.storage.checksum
+
+/** What the leader knows of one other member. */
+private class Progress(
+    var nextIndex: Long,
+    var lastHeardMillis: Long,
+) {
+    var matchIndex = 0L
+    var inFlight = 0
+    var lastSentMillis = 0L
+    var answeredRound = 0L
+    var snapshot: StoredSnapshot? = null
+    var snapshotChecksum = 0L
+    var snapshotBytes = 0
+
+    /** Whether one message at a time looks for the last common entry. */
+    var probing = true
+}
+
+internal class Replication(
+    private val state: RaftState,
+    var nowMillis: Long,
+) {
+    private val log get() = state.log
+    private val settings get() = state.settings
+    private val peers = HashMap<NodeId, Progress>()
+
+    /** The newest round of confirmation; every message carries it and every answer repeats it. */
+    var round = 0L
+
+    /** Keeps track of just the other members that are in force. */
+    fun followMembers() {
+        val others = state.members.members.map { it.node } - state.node
+        peers.keys.retainAll(others.toSet())
+        others.forEach { node -> peers.getOrPut(node) { Progress(log.lastIndex + 1, nowMillis) } }
+    }
+
+    fun sendAll() = peers.forEach { (node, peer) -> sendEntries(node, peer) }
+
+    fun sendHeartbeats() = peers.forEach { (node, peer) -> sendHeartbeat(node, peer) }
+
+    fun sendDueHeartbeats() = peers
+        .filterValues { nowMillis - it.lastSentMillis >= settings.heartbeatMillis }
+        .forEach { (node, peer) -> sendHeartbeat(node, peer) }
+
+    /** Returns the index up to which [node] is known to hold the same log durably. */
+    fun matchIndexOf(node: NodeId): Long = if (node == state.node) state.durableIndex else peers[node]?.matchIndex ?: 0
+
+    /** Returns the members that have answered a message of [wantedRound] or a later one, and the leader itself. */
+    fun answered(wantedRound: Long): Set<NodeId> =
+        peers.filterValues { it.answeredRound >= wantedRound }.keys + state.node
+
+    /** Returns the members that have answered within the last election timeout, and the leader itself. */
+    fun heard(): Set<NodeId> {
+        val oldestMillis = nowMillis - settings.electionTimeoutMillis
+        return peers.filterValues { it.lastHeardMillis > oldestMillis }.keys + state.node
+    }
+
+    /** Takes in a member's answer; returns whether [from] is one. */
+    fun onReply(
+        from: NodeId,
+        reply: FollowerMessage,
+    ): Boolean {
+        val peer = peers[from] ?: return false
+        peer.lastHeardMillis = nowMillis
+        peer.answeredRound = maxOf(peer.answeredRound, reply.round)
+        when (reply) {
+            is AppendReply -> if (reply.accepted) onAcceptance(peer, reply) else onRejection(peer, reply)
+            is SnapshotReply -> onSnapshotReply(from, peer, reply)
+        }
+        sendEntries(from, peer)
+        return true
+    }
+
+    private fun onAcceptance(
+        peer: Progress,
+        reply: AppendReply,
+    ) {
+        peer.matchIndex = maxOf(peer.matchIndex, reply.index)
+        peer.nextIndex = maxOf(peer.nextIndex, peer.matchIndex + 1)
+        val installed = peer.snapshot.let { it == null || it.index <= peer.matchIndex }
+        if (installed) peer.snapshot = null
+        peer.probing = false
+        val allAnswered = peer.matchIndex == peer.nextIndex - 1
+        peer.inFlight = if (allAnswered) 0 else maxOf(0, peer.inFlight - 1)
+    }
+
+    private fun onRejection(
+        peer: Progress,
+        reply: AppendReply,
+    ) {
+        val overtaken = reply.index <= peer.matchIndex || reply.index >= peer.nextIndex
+        if (overtaken) return
+        peer.probing = true
+        peer.inFlight = 0
+        peer.nextIndex = maxOf(peer.matchIndex + 1, minOf(reply.nextIndex, reply.index))
+    }
+
+    private fun onSnapshotReply(
+        from: NodeId,
+        peer: Progress,
+        reply: SnapshotReply,
+    ) {
+        if (peer.snapshot?.index != reply.index || peer.snapshotBytes == reply.receivedBytes) return
+        peer.snapshotBytes = reply.receivedBytes
+        sendChunk(from, peer)
+    }
+
+    private fun sendEntries(
+        to: NodeId,
+        peer: Progress,
+    ) {
+        if (peer.snapshot != null) return
+        val allowed = if (peer.probing) 1 else settings.maxInFlight
+        while (peer.inFlight < allowed && peer.nextIndex <= log.lastIndex) {
+            if (peer.nextIndex <= log.baseIndex) return startSnapshot(to, peer)
+            val entries = log.slice(peer.nextIndex, settings.maxBatchBytes)
+            sendAppend(to, peer, entries)
+            peer.inFlight++
+            peer.nextIndex += entries.size
+        }
+    }
+
+    private fun sendHeartbeat(
+        to: NodeId,
+        peer: Progress,
+    ) = when {
+        peer.snapshot != null -> sendChunk(to, peer)
+        peer.nextIndex <= log.baseIndex -> startSnapshot(to, peer)
+        else -> sendAppend(to, peer, emptyList())
+    }
+
+    private fun sendAppend(
+        to: NodeId,
+        peer: Progress,
+        entries: List<LogEntry>,
+    ) {
+        val previous = peer.nextIndex - 1
+        val previousTerm = checkNotNull(log.termAt(previous)) { "expected the log to hold index $previous" }
+        val sent = entries.map { SentEntry(it.term, it.kind, it.payload) }
+        peer.lastSentMillis = nowMillis
+        state.sendEarly(to, AppendRequest(state.term, round, previous, previousTerm, state.commitIndex, sent))
+    }
+
+    private fun startSnapshot(
+        to: NodeId,
+        peer: Progress,
+    ) {
+        val snapshot = checkNotNull(log.snapshot) { "expected a snapshot at or after index ${log.baseIndex}" }
+        peer.snapshot = snapshot
+        peer.snapshotChecksum = checksum(snapshot.state)
+        peer.snapshotBytes = 0
+        sendChunk(to, peer)
+    }
+
+    private fun sendChunk(
+        to: NodeId,
+        peer: Progress,
+    ) {
+        val snapshot = peer.snapshot ?: return
+        val start = minOf(peer.snapshotBytes, snapshot.state.size)
+        val end = minOf(start + settings.snapshotChunkBytes, snapshot.state.size)
+        peer.lastSentMillis = nowMillis
+        state.sendEarly(
+            to,
+            SnapshotChunk(
+                term = state.term,
+                round = round,
+                index = snapshot.index,
+                snapshotTerm = snapshot.term,
+                metadata = snapshot.metadata,
+                stateChecksum = peer.snapshotChecksum,
+                stateBytes = snapshot.state.size,
+                offsetBytes = start,
+                bytes = snapshot.state.copyOfRange(start, end),
+            ),
+        )
+    }
+}
