--- a/tables/src/main/kotlin/io/carawaytrack/tables/TomlReader.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/TomlReader.kt
@@ -38,7 +38,10 @@
     val faults: List<Fault>,
     val parsed: Boolean,
     val lines: Map<String, Int>,
-)
+) {
+    /** Returns the value, or null when keys may have been skipped. */
+    fun completeValue(): T? = value.takeIf { parsed }
+}
 
 /** Parses [file] and reads its root table through [read]. */
 internal fun <T : Any> readToml(
