--- a/tables/src/test/kotlin/io/carawaytrack/tables/TableReaderTest.kt
+++ b/tables/src/test/kotlin/io/carawaytrack/tables/TableReaderTest.kt
@@ -160,6 +160,7 @@
 }
 
 private const val A_NAME = "a name of at most 128 letters, digits and ._/- that starts with a letter or digit"
+private const val AN_ORGANISATION = "the name of an organisation, or * alone for all"
 private const val MEMBER_KEYS = "cost_per_kilotoken, expected_quality, service, upstreams, weight"
 
 private val tableFaultCases =
@@ -192,13 +193,13 @@
             "an unknown organisation of a route",
             "organisations = [\"north\", \"south\"]",
             "organisations = [\"north\",\n\"east\"]",
-            "routes:19: route[0].organisations[1] = east: expected the name of an organisation, or * alone for all",
+            "routes:19: route[0].organisations[1] = east: expected $AN_ORGANISATION",
         ),
         TableFaultCase(
             "a name beside the asterisk for all",
             "organisations = [\"*\"]",
             "organisations = [\"*\", \"north\"]",
-            "routes:27: route[1].organisations[0] = *: expected the name of an organisation, or * alone for all",
+            "routes:27: route[1].organisations[0] = *: expected $AN_ORGANISATION",
         ),
         TableFaultCase(
             "an unknown included pool",
@@ -227,7 +228,7 @@
             "name = \"north\"",
             listOf(
                 "routes:8: organisation[1].name = north: expected a value that no earlier row has",
-                "routes:18: route[0].organisations[1] = south: expected the name of an organisation, or * alone for all",
+                "routes:18: route[0].organisations[1] = south: expected $AN_ORGANISATION",
             ),
         ),
         TableFaultCase(
@@ -422,7 +423,8 @@
             "wrong syntax, without the faults of the join that may follow from it",
             "name = \"drafts\"\n",
             "name = \"drafts\n",
-            "pools:2: (syntax) = name = \"drafts: expected valid TOML (Unexpected end of line, expected \" or a character)",
+            "pools:2: (syntax) = name = \"drafts: expected valid TOML (Unexpected end of line, expected \" " +
+                "or a character)",
         ),
         TableFaultCase(
             "faults in both files at once",
