Add stand-ins for engines, plain services, ratings and weights

Cause: no module can be tried from end to end without something that behaves like a model engine, a stock ledger, the rating service and the weight store, with faults that can be switched.

Ruled out: a mock inside each test (every module would make its own and the demo would have none); one process for all four (a crash on a marked request must end only the engine).

Ktor's own log is off, so that standard output carries only the line with the address.

Conclusion: the engine can be built against; tests of the other three follow.

--- /dev/null
+++ b/standins/src/main/kotlin/io/carawaytrack/standins/AnswerText.kt
@@ -0,0 +1,55 @@
+/*
+ * The text of a stand-in's answers: a marker of its quality, which the rating stand-in reads, followed by words that
+ * depend on nothing but seed, version and prompt.
+ */
+package io.carawaytrack.standins
+
+import io.carawaytrack.model.ModelVersion
+import java.util.Locale
+import kotlin.random.Random
+
+private val WORDS =
+    listOf("the", "spare", "drawer", "letter", "draft", "dear", "part", "till", "of", "and", "to", "for")
+private val QUALITY_MARKER = Regex("""\[q=([01]\.\d+)]""")
+private const val CHARS_PER_TOKEN = 4
+
+/** Mixes parts into one seed; equal parts give equal seeds in every process. */
+internal fun seedOf(
+    seed: Long,
+    vararg parts: String,
+): Long = parts.fold(seed) { mixed, part -> mixed * HASH_FACTOR + part.hashCode() }
+
+private const val HASH_FACTOR = 1_000_003L
+
+/** Returns the quality of an answer: [mean] moved within [spread] by how hard the prompt is. */
+internal fun qualityOf(
+    seed: Long,
+    prompt: String,
+    mean: Double,
+    spread: Double,
+): Double = (mean - spread / 2 + Random(seedOf(seed, prompt)).nextDouble() * spread).coerceIn(0.0, 1.0)
+
+/** Renders the marker that opens an answer. */
+internal fun qualityMarker(quality: Double): String = "[q=%.3f]".format(Locale.ROOT, quality)
+
+/** Reads the marker from [answer]; returns null when it has none. */
+internal fun markedQuality(answer: String): Double? = QUALITY_MARKER
+    .find(answer)
+    ?.groupValues
+    ?.get(1)
+    ?.toDouble()
+
+/** Returns the [count] tokens of an answer, the first of which is the marker. */
+internal fun answerTokens(
+    seed: Long,
+    version: ModelVersion,
+    prompt: String,
+    quality: Double,
+    count: Int,
+): List<String> {
+    val random = Random(seedOf(seed, version.toString(), prompt))
+    return List(count) { if (it == 0) qualityMarker(quality) else " " + WORDS.random(random) }
+}
+
+/** Returns how many tokens [text] counts for. */
+internal fun tokensOf(text: String): Long = (text.length + CHARS_PER_TOKEN - 1L) / CHARS_PER_TOKEN
--- /dev/null
+++ b/standins/src/main/kotlin/io/carawaytrack/standins/Counters.kt
@@ -0,0 +1,104 @@
+/*
+ * Counts of what a stand-in has executed, by request id and by version. Tests and the demo read them to prove that a
+ * request ran once, or never.
+ */
+package io.carawaytrack.standins
+
+import kotlinx.serialization.Serializable
+
+/** Counts executions. A request that was cancelled or failed had started before. */
+@Serializable
+public data class ExecutionCounts(
+    val started: Long = 0,
+    val completed: Long = 0,
+    val cancelled: Long = 0,
+    val failed: Long = 0,
+    val resumed: Long = 0,
+) {
+    internal fun plus(step: ExecutionStep): ExecutionCounts = when (step) {
+        ExecutionStep.Started -> copy(started = started + 1)
+        ExecutionStep.Completed -> copy(completed = completed + 1)
+        ExecutionStep.Cancelled -> copy(cancelled = cancelled + 1)
+        ExecutionStep.Failed -> copy(failed = failed + 1)
+        ExecutionStep.Resumed -> copy(resumed = resumed + 1)
+    }
+}
+
+/**
+ * Counts the executions of one request id.
+ *
+ * @property versions versions that started it, in order
+ */
+@Serializable
+public data class RequestCounts(
+    val counts: ExecutionCounts = ExecutionCounts(),
+    val versions: List<String> = emptyList(),
+)
+
+/**
+ * Answers `GET /counters`.
+ *
+ * @property peakReceived most requests that were held at once, running or waiting
+ * @property restarts cold starts since the process began
+ */
+@Serializable
+public data class CounterReport(
+    val total: ExecutionCounts = ExecutionCounts(),
+    val peakReceived: Int = 0,
+    val peakRunning: Int = 0,
+    val promptTokens: Long = 0,
+    val answerTokens: Long = 0,
+    val refused: Long = 0,
+    val restarts: Long = 0,
+    val requests: Map<String, RequestCounts> = emptyMap(),
+    val versions: Map<String, ExecutionCounts> = emptyMap(),
+)
+
+internal enum class ExecutionStep { Started, Completed, Cancelled, Failed, Resumed }
+
+/** Holds the counts under one lock; forgets the oldest request ids beyond a bound. */
+internal class Counters {
+    private val lock = Any()
+    private var report = CounterReport()
+    private val requests = LinkedHashMap<String, RequestCounts>()
+    private val versions = HashMap<String, ExecutionCounts>()
+
+    fun step(
+        request: String,
+        version: String,
+        step: ExecutionStep,
+    ): Unit = synchronized(lock) {
+        report = report.copy(total = report.total.plus(step))
+        val before = requests[request] ?: RequestCounts()
+        val ran = if (step == ExecutionStep.Started) before.versions + version else before.versions
+        requests[request] = RequestCounts(before.counts.plus(step), ran)
+        if (requests.size > REQUESTS_KEPT) requests.remove(requests.keys.first())
+        versions[version] = (versions[version] ?: ExecutionCounts()).plus(step)
+    }
+
+    fun held(
+        received: Int,
+        running: Int,
+    ): Unit = update {
+        it.copy(peakReceived = maxOf(it.peakReceived, received), peakRunning = maxOf(it.peakRunning, running))
+    }
+
+    fun tokens(
+        prompt: Long,
+        answer: Long,
+    ): Unit = update { it.copy(promptTokens = it.promptTokens + prompt, answerTokens = it.answerTokens + answer) }
+
+    fun refused(): Unit = update { it.copy(refused = it.refused + 1) }
+
+    fun restarted(): Unit = update { it.copy(restarts = it.restarts + 1) }
+
+    fun report(): CounterReport = synchronized(lock) {
+        report.copy(requests = requests.toMap(), versions = versions.toMap())
+    }
+
+    private fun update(change: (CounterReport) -> CounterReport): Unit = synchronized(lock) { report = change(report) }
+
+    private companion object {
+        const val REQUESTS_KEPT = 50_000
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/carawaytrack/standins/LaggedLoad.kt
@@ -0,0 +1,43 @@
+/*
+ * The load that an engine stand-in reports, which is what stood some time ago.
+ */
+package io.carawaytrack.standins
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Answers `GET /load`.
+ *
+ * @property queuedTokens prompt and answer tokens of the held requests still to be worked off
+ * @property cacheUsed share of the prefix cache in use, 0 to 1
+ * @property bootId changes with every start of the engine
+ */
+@Serializable
+public data class LoadReport(
+    val atMillis: Long,
+    val running: Int,
+    val waiting: Int,
+    val queuedTokens: Long,
+    val cacheUsed: Double,
+    val bootId: Long,
+)
+
+internal class LaggedLoad {
+    private val lock = Any()
+    private val history = ArrayDeque<LoadReport>()
+
+    fun record(report: LoadReport): Unit = synchronized(lock) {
+        if (history.lastOrNull()?.atMillis == report.atMillis) history.removeLast()
+        history.addLast(report)
+        if (history.size > REPORTS_KEPT) history.removeFirst()
+    }
+
+    /** Returns the newest report made at [atMillis] or before, else the oldest one. */
+    fun asOf(atMillis: Long): LoadReport? = synchronized(lock) {
+        history.lastOrNull { it.atMillis <= atMillis } ?: history.firstOrNull()
+    }
+
+    private companion object {
+        const val REPORTS_KEPT = 4_096
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/io/carawaytrack/standins/LoopbackServer.kt
@@ -0,0 +1,107 @@
+/*
+ * The HTTP server that every stand-in runs on, and the JSON that they read and write. It listens on loopback only.
+ */
+package io.carawaytrack.standins
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.runCatching
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.install
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.applicationEnvironment
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.RoutingCall
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.runBlocking
+import kotlinx.io.IOException
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+import org.slf4j.helpers.NOPLogger
+
+/** JSON of the stand-ins' own messages; every field is written. */
+internal val standInJson: Json =
+    Json {
+        ignoreUnknownKeys = true
+        encodeDefaults = true
+    }
+
+/** Explains a refusal of a stand-in. */
+@Serializable
+internal data class Refusal(
+    val error: String,
+)
+
+/** Serves [routes] on 127.0.0.1; port 0 takes a free one. */
+internal class LoopbackServer(
+    port: Int,
+    routes: Routing.() -> Unit,
+) : AutoCloseable {
+    private val server: EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> =
+        embeddedServer(
+            factory = CIO,
+            environment = applicationEnvironment { log = NOPLogger.NOP_LOGGER },
+            configure = {
+                connector {
+                    host = LOOPBACK
+                    this.port = port
+                }
+            },
+        ) {
+            install(HttpRequestLifecycle) { cancelCallOnClose = true }
+            routing(routes)
+        }.start(wait = false)
+
+    /** Port that was bound. */
+    val port: Int =
+        runBlocking {
+            server.engine
+                .resolvedConnectors()
+                .first()
+                .port
+        }
+
+    /** Cuts every open connection. */
+    override fun close() {
+        server.stop(gracePeriodMillis = 0, timeoutMillis = 0)
+    }
+
+    companion object {
+        const val LOOPBACK = "127.0.0.1"
+    }
+}
+
+/** Reads the body as JSON; fails with what is wrong with it. */
+internal suspend inline fun <reified T> RoutingCall.receiveJson(): Result<T, String> = decodeJson(receiveText())
+
+internal inline fun <reified T> decodeJson(text: String): Result<T, String> =
+    runCatching { standInJson.decodeFromString<T>(text) }.mapError { "expected a valid JSON body: ${it.message}" }
+
+/** Answers with [value] as JSON. */
+internal suspend inline fun <reified T> RoutingCall.respondJson(
+    value: T,
+    status: HttpStatusCode = HttpStatusCode.OK,
+) {
+    respondText(standInJson.encodeToString(value), ContentType.Application.Json, status)
+}
+
+/** Answers with [value] as one JSON document a line. */
+internal suspend inline fun <reified T> RoutingCall.respondJsonLines(values: List<T>) {
+    val lines = values.joinToString(separator = "") { standInJson.encodeToString(it) + "\n" }
+    respondText(lines, ContentType("application", "x-ndjson"))
+}
+
+/** Closes the caller's connection in the middle of an answer. */
+internal suspend fun RoutingCall.breakConnection(): Unit = respondBytesWriter {
+    flush()
+    throw IOException("the connection is broken on purpose")
+}
--- /dev/null
+++ b/standins/src/test/kotlin/io/carawaytrack/standins/EngineStandInTest.kt
@@ -0,0 +1,304 @@
+/*
+ * The engine stand-in as its callers meet it, over HTTP: the published form, what it refuses, and each fault.
+ */
+package io.carawaytrack.standins
+
+import io.carawaytrack.standins.StandInCalls.Companion.CHAT
+import io.carawaytrack.standins.StandInCalls.Companion.chatBody
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectCatching
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.endsWith
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFailure
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
+import java.io.IOException
+import java.net.http.HttpResponse
+
+class EngineStandInTest {
+    private class Running(
+        val standIn: EngineStandIn,
+        val clock: JumpingClock,
+    ) {
+        val calls = StandInCalls(standIn.port)
+    }
+
+    private fun withEngine(
+        settings: EngineSettings = EngineSettings(),
+        check: Running.() -> Unit,
+    ) {
+        val clock = JumpingClock()
+        EngineStandIn(settings, clock.timing).use { Running(it, clock).check() }
+    }
+
+    private data class AnswerCase(
+        val name: String,
+        val body: String,
+        val status: Int,
+        val parts: List<String>,
+    )
+
+    private val answerCases =
+        listOf(
+            AnswerCase(
+                "a plain request gets a completion with usage",
+                chatBody("a letter"),
+                200,
+                listOf(""""object":"chat.completion"""", """"model":"quill@1"""", """"completion_tokens":4""", "[q="),
+            ),
+            AnswerCase(
+                "a request may name the version",
+                chatBody(model = "quill@2"),
+                200,
+                listOf(""""model":"quill@2""""),
+            ),
+            AnswerCase(
+                "a token limit shortens the answer",
+                chatBody(more = ""","max_tokens":2"""),
+                200,
+                listOf(""""finish_reason":"length"""", """"completion_tokens":2"""),
+            ),
+            AnswerCase(
+                "a stream carries usage on its last chunk",
+                chatBody(stream = true),
+                200,
+                listOf("chat.completion.chunk", """"finish_reason":"stop"}],"usage":{""", "data: [DONE]\n\n"),
+            ),
+            AnswerCase(
+                "a stream carries usage on a chunk of its own where that is asked for",
+                chatBody(stream = true, more = ""","stream_options":{"include_usage":true}"""),
+                200,
+                listOf(""""choices":[],"usage":{""", "data: [DONE]\n\n"),
+            ),
+            AnswerCase("an unknown model is not found", chatBody(model = "pen"), 404, listOf("model_not_found")),
+            AnswerCase("a body that is no JSON is refused", "{", 400, listOf("invalid_request")),
+            AnswerCase("a body without messages is refused", """{"model":"quill"}""", 400, listOf("messages")),
+        )
+
+    @TestFactory
+    fun `answers take the published form`(): List<DynamicTest> = answerCases.map { case ->
+        dynamicTest(case.name) {
+            withEngine(EngineSettings(versions = listOf(QUILL_1, QUILL_2), answerTokens = 4)) {
+                val response = calls.post(CHAT, case.body)
+                expectThat(response.statusCode()).isEqualTo(case.status)
+                case.parts.forEach { expectThat(response.body()).contains(it) }
+            }
+        }
+    }
+
+    private data class FaultCase(
+        val name: String,
+        val faults: EngineFaults,
+        val status: Int,
+        val counts: ExecutionCounts,
+    )
+
+    private val faultCases =
+        listOf(
+            FaultCase("no fault", EngineFaults(), 200, ExecutionCounts(started = 1, completed = 1)),
+            FaultCase("an engine that is down starts nothing", EngineFaults(down = true), 503, ExecutionCounts()),
+            FaultCase("errors", EngineFaults(errorRatio = 1.0), 500, ExecutionCounts(started = 1, failed = 1)),
+            FaultCase(
+                "errors of another version",
+                EngineFaults(errorRatio = 1.0, versions = listOf("quill@2")),
+                200,
+                ExecutionCounts(started = 1, completed = 1),
+            ),
+        )
+
+    @TestFactory
+    fun `faults change the answer and the counters`(): List<DynamicTest> = faultCases.map { case ->
+        dynamicTest(case.name) {
+            withEngine {
+                standIn.switchFaults(case.faults)
+                val response = calls.chat(headers = arrayOf(REQUEST_ID_HEADER to "r1"))
+                expectThat(response.statusCode()).isEqualTo(case.status)
+                expectThat(standIn.counters.total).isEqualTo(case.counts)
+                expectThat(standIn.counters.requests["r1"]?.counts ?: ExecutionCounts()).isEqualTo(case.counts)
+            }
+        }
+    }
+
+    @Test
+    fun `a connection that breaks in the middle leaves an answer without an end`() = withEngine {
+        standIn.switchFaults(EngineFaults(breakAfterTokens = 2))
+        val response = calls.open(CHAT, chatBody(stream = true))
+        val text = StringBuilder()
+        expectCatching { response.body().reader().forEachLine(text::appendLine) }.isFailure().isA<IOException>()
+        expectThat(text.toString()).contains("[q=").not().contains("[DONE]")
+    }
+
+    @Test
+    fun `a broken answer is resumed from the token after the last one that came`() =
+        withEngine(EngineSettings(answerTokens = 6)) {
+            val whole = calls.post(CHAT, chatBody(stream = true), REQUEST_ID_HEADER to "whole").body().contents()
+            standIn.switchFaults(EngineFaults(breakAfterTokens = 3))
+            expectCatching { calls.post(CHAT, chatBody(stream = true), REQUEST_ID_HEADER to "r1") }.isFailure()
+            standIn.switchFaults(EngineFaults())
+            val rest = calls.post(CHAT, chatBody(stream = true), REQUEST_ID_HEADER to "r1", RESUME_FROM_HEADER to "3")
+            expectThat(rest.body().contents()).isEqualTo(whole.drop(3))
+            expectThat(
+                standIn.counters.requests
+                    .getValue("r1")
+                    .counts,
+            ).isEqualTo(ExecutionCounts(started = 1, failed = 1, resumed = 1, completed = 1))
+            val unknown = calls.chat(headers = arrayOf(REQUEST_ID_HEADER to "r2", RESUME_FROM_HEADER to "1"))
+            expectThat(unknown.statusCode()).isEqualTo(404)
+        }
+
+    @Test
+    fun `a stalled answer goes on once the fault is cleared`() = withEngine {
+        standIn.switchFaults(EngineFaults(stallAfterTokens = 1))
+        val response = calls.open(CHAT, chatBody(stream = true))
+        val reader = response.body().bufferedReader()
+        expectThat(reader.readLine()).contains("assistant")
+        standIn.switchFaults(EngineFaults())
+        expectThat(reader.readText()).endsWith("data: [DONE]\n\n")
+    }
+
+    @Test
+    fun `a cancelled request ends and is counted`() = withEngine {
+        standIn.switchFaults(EngineFaults(stallAfterTokens = 1))
+        val response = calls.open(CHAT, chatBody(stream = true), REQUEST_ID_HEADER to "r1")
+        val reader = response.body().bufferedReader()
+        reader.readLine()
+        expectThat(calls.post("/cancel", """{"requestId":"r1"}""").body()).contains("true")
+        expectCatching { reader.readText() }.isFailure().isA<IOException>()
+        expectThat(calls.post("/cancel", """{"requestId":"r1"}""").body()).contains("false")
+        expectThat(standIn.counters.total).isEqualTo(ExecutionCounts(started = 1, cancelled = 1))
+    }
+
+    @Test
+    fun `given more than it bears an engine in a cold start falls over and starts again`() =
+        withEngine(EngineSettings(coldStartMillis = 60_000, coldBearing = 1, restartMillis = 1_000)) {
+            standIn.switchFaults(EngineFaults(stallAfterTokens = 1))
+            val first = calls.open(CHAT, chatBody(stream = true))
+            val reader = first.body().bufferedReader()
+            reader.readLine()
+            expectThat(calls.chat().statusCode()).isEqualTo(503)
+            expectCatching { reader.readText() }.isFailure().isA<IOException>()
+            expectThat(calls.get("/health").statusCode()).isEqualTo(503)
+            clock.nowMillis.addAndGet(1_000)
+            expectThat(calls.get("/health").body()).contains(""""bootId":2""").contains(""""cold":true""")
+            standIn.switchFaults(EngineFaults())
+            expectThat(calls.chat().statusCode()).isEqualTo(200)
+        }
+
+    @Test
+    fun `the same prompt again costs less time before its first token`() =
+        withEngine(EngineSettings(tokenMillis = 0.0, prefillMillisPerKilotoken = 1_000.0)) {
+            val prompt = "a long prompt ".repeat(100)
+            val taken =
+                List(2) {
+                    val before = clock.nowMillis.get()
+                    calls.chat(prompt)
+                    clock.nowMillis.get() - before
+                }
+            expectThat(taken[0]).isGreaterThan(300)
+            expectThat(taken[1]).isLessThan(50)
+        }
+
+    @Test
+    fun `a request with the marked text ends the engine and no other does`() {
+        val engine = EngineStandIn(EngineSettings(faults = EngineFaults(crashText = "boom")), JumpingClock().timing)
+        val calls = StandInCalls(engine.port)
+        expectThat(calls.chat("calm").statusCode()).isEqualTo(200)
+        expectCatching { calls.chat("boom") }.isFailure().isA<IOException>()
+        expectCatching { calls.chat("calm") }.isFailure().isA<IOException>()
+    }
+
+    private data class OrderCase(
+        val name: String,
+        val honoursFencing: Boolean,
+        val numbers: List<Long>,
+        val applied: List<Long>,
+    )
+
+    private val orderCases =
+        listOf(
+            OrderCase("an older order is refused", true, listOf(2, 1, 3), listOf(2, 3)),
+            OrderCase("an equal order is applied again", true, listOf(2, 2), listOf(2, 2)),
+            OrderCase("an engine that ignores numbers applies all", false, listOf(2, 1), listOf(2, 1)),
+        )
+
+    @TestFactory
+    fun `orders go by their fencing numbers`(): List<DynamicTest> = orderCases.map { case ->
+        dynamicTest(case.name) {
+            withEngine(EngineSettings(honoursFencing = case.honoursFencing)) {
+                case.numbers.forEach {
+                    calls.post(
+                        "/orders",
+                        """{"fencingNumber":$it,"action":"Load","model":"quill","version":"$it"}""",
+                    )
+                }
+                expectThat(standIn.state.applied.map { it.fencingNumber }).isEqualTo(case.applied)
+            }
+        }
+    }
+
+    @Test
+    fun `an order changes which models are served`() = withEngine {
+        calls.post("/orders", """{"fencingNumber":1,"action":"Load","model":"quill","version":"2"}""")
+        expectThat(calls.chat(model = "quill@2").statusCode()).isEqualTo(200)
+        calls.post("/orders", """{"fencingNumber":2,"action":"Unload","model":"quill","version":"1"}""")
+        expectThat(calls.chat(model = "quill@1").statusCode()).isEqualTo(404)
+        expectThat(calls.get("/v1/models").body()).contains("quill@2").not().contains("quill@1")
+        expectThat(calls.post("/orders", """{"fencingNumber":3,"action":"Load"}""").statusCode()).isEqualTo(400)
+    }
+
+    @Test
+    fun `load and cache events are shown late`() =
+        withEngine(EngineSettings(loadLagMillis = 10_000, eventLagMillis = 10_000, cacheBlocks = 1)) {
+            calls.chat("x".repeat(2 * PREFIX_BLOCK_CHARS))
+            expectThat(calls.get("/events").body()).isEqualTo("")
+            clock.nowMillis.addAndGet(10_000)
+            val kinds =
+                calls
+                    .get("/events")
+                    .body()
+                    .lines()
+                    .filter { it.isNotEmpty() }
+            expectThat(kinds.map { it.substringAfter("\"kind\":\"").substringBefore('"') })
+                .containsExactly("Stored", "Removed", "Stored")
+            standIn.switchFaults(EngineFaults(stallAfterTokens = 1))
+            val open = calls.open(CHAT, chatBody(stream = true))
+            open.body().bufferedReader().readLine()
+            expectThat(standIn.load.running).isEqualTo(1)
+            expectThat(calls.get("/load").body()).contains(""""running":0""")
+            clock.nowMillis.addAndGet(10_000)
+            expectThat(calls.get("/load").body()).contains(""""running":1""")
+        }
+
+    @Test
+    fun `a bad version rates low and the others do not`() =
+        withEngine(EngineSettings(versions = listOf(QUILL_1, QUILL_2), quality = 0.9, qualitySpread = 0.0)) {
+            standIn.switchFaults(EngineFaults(quality = 0.1, versions = listOf("quill@2")))
+            expectThat(calls.chat(model = "quill@1").rating()).isEqualTo(0.9)
+            expectThat(calls.chat(model = "quill@2").rating()).isEqualTo(0.1)
+        }
+
+    @Test
+    fun `faults are switched over HTTP`() = withEngine {
+        expectThat(calls.post("/faults", """{"down":true}""").statusCode()).isEqualTo(200)
+        expectThat(calls.chat().statusCode()).isEqualTo(503)
+        expectThat(calls.post("/faults", """{}""").body().contains(""""down":true""")).isFalse()
+        expectThat(calls.chat().statusCode()).isEqualTo(200)
+        expectThat(calls.get("/faults").body().contains("tokenSlowdown")).isTrue()
+    }
+
+    private fun HttpResponse<String>.rating(): Double? = markedQuality(body())
+
+    private fun String.contents(): List<String> = lines()
+        .filter { """"content":""" in it }
+        .map { it.substringAfter(""""content":"""").substringBefore('"') }
+        .filter { it.isNotEmpty() }
+}
