--- a/standins/src/main/kotlin/io/carawaytrack/standins/Engine.kt
+++ b/standins/src/main/kotlin/io/carawaytrack/standins/Engine.kt
@@ -217,8 +217,8 @@
         if (answer.produced == 0) prefill(answer)
         val pace = TokenPace(timing)
         for (index in work.from until answer.tokens.size) {
-            faults.first { index < (it.stallAfterTokens ?: Int.MAX_VALUE) }
-            if (index >= (faults.value.breakAfterTokens ?: Int.MAX_VALUE)) return StopReason.Broken
+            val fault = faults.first { !it.stalls(answer.version, index) }
+            if (fault.breaks(answer.version, index)) return StopReason.Broken
             if (index >= answer.produced) pace.next(tokenMillis(answer.version))
             emit(answer.tokens[index])
             answer.produced = maxOf(answer.produced, index + 1)
--- a/standins/src/main/kotlin/io/carawaytrack/standins/EngineSettings.kt
+++ b/standins/src/main/kotlin/io/carawaytrack/standins/EngineSettings.kt
@@ -57,7 +57,7 @@
 /**
  * Lists the faults of an engine stand-in; `POST /faults` replaces all of them.
  *
- * @property versions `model@version` of those that [quality], [errorRatio] and [tokenSlowdown] harm; empty for all
+ * @property versions `model@version` of those whose answers are harmed; empty for all
  * @property down answers 503 to everything
  * @property restartCold falls back into a cold start at once, without a word
  * @property crashText a request whose body contains this text ends the process
@@ -82,4 +82,14 @@
     val loadLagMillis: Long? = null,
 ) {
     internal fun harms(version: ModelVersion): Boolean = versions.isEmpty() || version.toString() in versions
+
+    internal fun stalls(
+        version: ModelVersion,
+        token: Int,
+    ): Boolean = stallAfterTokens != null && token >= stallAfterTokens && harms(version)
+
+    internal fun breaks(
+        version: ModelVersion,
+        token: Int,
+    ): Boolean = breakAfterTokens != null && token >= breakAfterTokens && harms(version)
 }
--- a/standins/src/test/kotlin/io/carawaytrack/standins/EngineStandInTest.kt
+++ b/standins/src/test/kotlin/io/carawaytrack/standins/EngineStandInTest.kt
@@ -177,6 +177,32 @@
         expectThat(standIn.counters.total).isEqualTo(ExecutionCounts(started = 1, cancelled = 1))
     }
 
+    @Test
+    fun `a caller that goes away frees its slot`() =
+        withEngine(EngineSettings(versions = listOf(QUILL_1, QUILL_2), maxRunning = 1)) {
+            standIn.switchFaults(EngineFaults(stallAfterTokens = 1, versions = listOf("quill@1")))
+            val open = calls.open(CHAT, chatBody(stream = true), REQUEST_ID_HEADER to "gone")
+            open.body().read()
+            val waiting = calls.postLater(CHAT, chatBody(model = "quill@2"))
+            open.body().close()
+            expectThat(waiting.join().statusCode()).isEqualTo(200)
+            expectThat(
+                standIn.counters.requests
+                    .getValue("gone")
+                    .counts,
+            ).isEqualTo(ExecutionCounts(started = 1, cancelled = 1))
+        }
+
+    @Test
+    fun `an engine falls over when the requests it holds outgrow its memory`() =
+        withEngine(EngineSettings(memoryTokens = 100, answerTokens = 60, restartMillis = 500)) {
+            standIn.switchFaults(EngineFaults(stallAfterTokens = 1))
+            calls.open(CHAT, chatBody(stream = true)).body().read()
+            expectThat(calls.chat().statusCode()).isEqualTo(503)
+            expectThat(standIn.counters.restarts).isEqualTo(1)
+            expectThat(standIn.load.queuedTokens).isEqualTo(0)
+        }
+
     @Test
     fun `given more than it bears an engine in a cold start falls over and starts again`() =
         withEngine(EngineSettings(coldStartMillis = 60_000, coldBearing = 1, restartMillis = 1_000)) {
