Wire control, and a demo that starts the whole path

Cause: the parts stood alone; nothing had been served from end to end.

Ruled out: a demo inside one process (it would prove nothing about settings, ports and links between processes).

Change: control program with init and run, launchers, demo plan, demo story and the script that starts, stops and judges.

--- a/control/src/main/kotlin/io/carawaytrack/control/AdministrationApi.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/AdministrationApi.kt
@@ -1,6 +1,6 @@
 /*
- * The administration API over HTTP. Every call needs an operator's token; every answer comes from the leading host after
- * a confirmed read, so that an operator never sees an older state than the last one acknowledged.
+ * The administration API over HTTP. Every call needs an operator's token; every answer comes from the leading host
+ * after a confirmed read, so that an operator never sees an older state than the last one acknowledged.
  */
 package io.carawaytrack.control
 
@@ -42,8 +42,6 @@
 import kotlinx.io.readByteArray
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.builtins.ListSerializer
-import kotlinx.serialization.decodeFromByteArray
-import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.json.Json
 import java.security.MessageDigest
 
@@ -108,16 +106,15 @@
         checked(request.change).getOrElse { return Err(it) }
         val command = ControlCommand.Change(request.copy(operator = operator), wallClockMillis())
         return replica
-            .propose(controlCbor.encodeToByteArray<ControlCommand>(command))
-            .andThen { reply -> changed(controlCbor.decodeFromByteArray<ControlReply>(reply)) }
+            .propose(command.encode())
+            .andThen { reply -> changed(decodeControlReply(reply)) }
     }
 
-    private fun changed(reply: ControlReply): Result<ChangeReply, Failure> =
-        when (reply) {
-            is ControlReply.Changed -> Ok(reply.reply)
-            is ControlReply.Refused -> Err(reply.failure)
-            is ControlReply.Recorded -> Err(ErrorKind.Internal.notRun("expected the reply to a change"))
-        }
+    private fun changed(reply: ControlReply): Result<ChangeReply, Failure> = when (reply) {
+        is ControlReply.Changed -> Ok(reply.reply)
+        is ControlReply.Refused -> Err(reply.failure)
+        is ControlReply.Recorded -> Err(ErrorKind.Internal.notRun("expected the reply to a change"))
+    }
 
     private fun checked(change: ConfigurationChange): Result<Unit, Failure> {
         if (change !is ConfigurationChange.ApplyTables) return Ok(Unit)
@@ -161,15 +158,15 @@
         val token = authorization?.removePrefix("Bearer ") ?: return null
         val digest = MessageDigest.getInstance("SHA-256").digest(token.encodeToByteArray())
         // All digests are compared, so that the time taken tells nothing about which one came close.
-        return operators.entries.filter { (_, hex) -> MessageDigest.isEqual(digest, hex.hexToByteArrayOrEmpty()) }
+        return operators.entries
+            .filter { (_, hex) -> MessageDigest.isEqual(digest, hex.hexToByteArrayOrEmpty()) }
             .map { it.key }
             .firstOrNull()
     }
 }
 
-private fun String.hexToByteArrayOrEmpty(): ByteArray =
-    try {
-        hexToByteArray()
-    } catch (_: IllegalArgumentException) {
-        byteArrayOf()
-    }
+private fun String.hexToByteArrayOrEmpty(): ByteArray = try {
+    hexToByteArray()
+} catch (_: IllegalArgumentException) {
+    byteArrayOf()
+}
--- a/control/src/main/kotlin/io/carawaytrack/control/ControlSettings.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/ControlSettings.kt
@@ -16,6 +16,7 @@
  * @property dataFolder folder that holds the state which must survive
  * @property linkAddress address on which entries, agents and other control hosts connect
  * @property members link addresses of all control hosts, this one included
+ * @property joining true for a host that joins a running group as a learner
  * @property operators hex SHA-256 digest of each operator's token, by operator name
  * @property retentionMillis age at which request records, pins and bills are dropped
  */
@@ -25,6 +26,8 @@
     val linkAddress: HostPort,
     val adminAddress: HostPort,
     val members: Map<NodeId, HostPort>,
+    val clusterId: String,
+    val joining: Boolean,
     val operators: Map<String, String>,
     val retentionMillis: Long,
 )
@@ -33,16 +36,22 @@
 private const val DEFAULT_RETENTION_HOURS = 72L
 private const val LONGEST_RETENTION_HOURS = 8_760L
 
-internal fun SettingsReader.controlSettings(): ControlSettings =
-    ControlSettings(
-        process = processSettings(),
-        dataFolder = Path.of(text("data_folder")),
-        linkAddress = address("link_address"),
-        adminAddress = address("admin_address"),
-        members = textTable("members").entries.associate { (node, text) -> NodeId(node) to member(text) },
-        operators = textTable("operators"),
-        retentionMillis = long("retention_hours", 1..LONGEST_RETENTION_HOURS, DEFAULT_RETENTION_HOURS) * MILLIS_PER_HOUR,
-    )
+internal fun SettingsReader.controlSettings(): ControlSettings = ControlSettings(
+    process = processSettings(),
+    dataFolder = Path.of(text("data_folder")),
+    linkAddress = address("link_address"),
+    adminAddress = address("admin_address"),
+    members = textTable("members").entries.associate { (node, text) -> NodeId(node) to member(text) },
+    clusterId = text("cluster"),
+    joining = flag("joining", false),
+    operators = textTable("operators"),
+    retentionMillis =
+        long(
+            "retention_hours",
+            1..LONGEST_RETENTION_HOURS,
+            DEFAULT_RETENTION_HOURS,
+        ) * MILLIS_PER_HOUR,
+)
 
-// A table of texts has no typed reader; a member that is no address makes the replica unreachable and is reported there.
+// A table of texts has no typed reader; a member without a port is never reached, which its peers log.
 private fun member(text: String) = HostPort.parse(text) ?: HostPort(text, 0)
--- a/control/src/main/kotlin/io/carawaytrack/control/ControlState.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/ControlState.kt
@@ -86,7 +86,11 @@
     val ledger: LedgerSnapshot,
 )
 
-internal val controlCbor = Cbor { ignoreUnknownKeys = true }
+private val controlCbor = Cbor { ignoreUnknownKeys = true }
+
+internal fun ControlCommand.encode(): ByteArray = controlCbor.encodeToByteArray(this)
+
+internal fun decodeControlReply(bytes: ByteArray): ControlReply = controlCbor.decodeFromByteArray(bytes)
 
 /** The replicated state of a control host; [onConfiguration] hears of every configuration that comes into force. */
 internal class ControlState(
@@ -170,18 +174,17 @@
         return ControlReply.Changed(ChangeReply(next.number))
     }
 
-    override fun snapshot(): ByteArray =
-        lock.withLock {
-            controlCbor.encodeToByteArray(
-                ControlSnapshot(
-                    configuration = configuration,
-                    kept = kept.toList(),
-                    history = history.toList(),
-                    operations = operations.map { (id, reply) -> OperationRecord(id, reply) },
-                    ledger = ledger.snapshot(),
-                ),
-            )
-        }
+    override fun snapshot(): ByteArray = lock.withLock {
+        controlCbor.encodeToByteArray(
+            ControlSnapshot(
+                configuration = configuration,
+                kept = kept.toList(),
+                history = history.toList(),
+                operations = operations.map { (id, reply) -> OperationRecord(id, reply) },
+                ledger = ledger.snapshot(),
+            ),
+        )
+    }
 
     override fun restore(snapshot: ByteArray) {
         val restored = controlCbor.decodeFromByteArray<ControlSnapshot>(snapshot)
--- a/control/src/main/kotlin/io/carawaytrack/control/HolderRegistry.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/HolderRegistry.kt
@@ -44,22 +44,20 @@
     private var leadingSinceMillis: Long? = null
 
     /** Starts anew when this host begins to lead: what an earlier leader heard is out of date. */
-    fun lead(leading: Boolean): Unit =
-        lock.withLock {
-            if (leading == (leadingSinceMillis != null)) return
-            leadingSinceMillis = if (leading) nowMillis() else null
-            upstreams.clear()
-            holders.clear()
-        }
+    fun lead(leading: Boolean): Unit = lock.withLock {
+        if (leading == (leadingSinceMillis != null)) return
+        leadingSinceMillis = if (leading) nowMillis() else null
+        upstreams.clear()
+        holders.clear()
+    }
 
     fun heard(
         peer: PeerIdentity,
         heartbeat: Heartbeat,
-    ): Unit =
-        lock.withLock {
-            holders[peer.node] = HolderRecord(peer, heartbeat.configurationNumber, nowMillis())
-            heartbeat.announcement?.let(::announced)
-        }
+    ): Unit = lock.withLock {
+        holders[peer.node] = HolderRecord(peer, heartbeat.configurationNumber, nowMillis())
+        heartbeat.announcement?.let(::announced)
+    }
 
     private fun announced(announcement: Announcement) {
         val known = upstreams[announcement.upstream]
@@ -70,18 +68,17 @@
     }
 
     /** Returns what has changed since [number], or null when nothing has. */
-    fun membershipSince(number: Long): Membership? =
-        lock.withLock {
-            markSilent()
-            val changed = upstreams.values.filter { it.changeNumber > number }
-            if (changed.isEmpty() && number > 0) return null
-            Membership(
-                number = changeNumber,
-                complete = number == 0L && complete(),
-                upstreams = changed.filterNot(UpstreamRecord::gone).map(UpstreamRecord::announcement),
-                removed = changed.filter(UpstreamRecord::gone).map { it.announcement.upstream },
-            )
-        }
+    fun membershipSince(number: Long): Membership? = lock.withLock {
+        markSilent()
+        val changed = upstreams.values.filter { it.changeNumber > number }
+        if (changed.isEmpty() && number > 0) return null
+        Membership(
+            number = changeNumber,
+            complete = number == 0L && complete(),
+            upstreams = changed.filterNot(UpstreamRecord::gone).map(UpstreamRecord::announcement),
+            removed = changed.filter(UpstreamRecord::gone).map { it.announcement.upstream },
+        )
+    }
 
     // A delta adds and removes by name; a full list replaces all, which it may only once every agent has had its turn.
     private fun complete(): Boolean {
@@ -97,21 +94,19 @@
         }
     }
 
-    fun announcements(): List<Announcement> =
-        lock.withLock {
-            markSilent()
-            upstreams.values.filterNot(UpstreamRecord::gone).map(UpstreamRecord::announcement)
-        }
+    fun announcements(): List<Announcement> = lock.withLock {
+        markSilent()
+        upstreams.values.filterNot(UpstreamRecord::gone).map(UpstreamRecord::announcement)
+    }
 
-    fun statuses(): List<HolderStatus> =
-        lock.withLock {
-            val now = nowMillis()
-            holders.values.removeIf { now - it.heardAtMillis > HOLDER_FORGOTTEN_MILLIS }
-            holders.values
-                .filter { it.peer.role != NodeRole.Control }
-                .map { it.toStatus(now) }
-                .sortedBy { it.node.value }
-        }
+    fun statuses(): List<HolderStatus> = lock.withLock {
+        val now = nowMillis()
+        holders.values.removeIf { now - it.heardAtMillis > HOLDER_FORGOTTEN_MILLIS }
+        holders.values
+            .filter { it.peer.role != NodeRole.Control }
+            .map { it.toStatus(now) }
+            .sortedBy { it.node.value }
+    }
 
     private fun HolderRecord.toStatus(now: Long) =
         HolderStatus(peer.node, peer.role, peer.zone, configurationNumber, now - heardAtMillis)
--- a/control/src/main/kotlin/io/carawaytrack/control/HolderService.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/HolderService.kt
@@ -9,9 +9,9 @@
 import io.carawaytrack.consensus.Replica
 import io.carawaytrack.ledger.decodeLedgerCommand
 import io.carawaytrack.ledger.encode
-import io.carawaytrack.membership.LEASE_MILLIS
 import io.carawaytrack.model.Configuration
 import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.LEASE_MILLIS
 import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.NodeRole
 import io.carawaytrack.wire.ConfigurationPush
@@ -26,8 +26,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
-import kotlinx.serialization.decodeFromByteArray
-import kotlinx.serialization.encodeToByteArray
 import java.util.concurrent.ConcurrentHashMap
 
 private val logger = KotlinLogging.logger {}
@@ -57,7 +55,12 @@
     private suspend fun CoroutineScope.receiveAll(link: Link) {
         while (true) {
             when (val message = link.receive() ?: return) {
-                is LogMessage -> if (link.peer.role == NodeRole.Control) replica.receive(link.peer.node, message.payload)
+                is LogMessage ->
+                    if (link.peer.role ==
+                        NodeRole.Control
+                    ) {
+                        replica.receive(link.peer.node, message.payload)
+                    }
                 is Heartbeat -> launch { answer(link, message) }
                 is LedgerCall -> launch { answer(link, message) }
                 else -> logger.warn { "ignored a ${message::class.simpleName} from ${link.peer.node}" }
@@ -70,6 +73,7 @@
         heartbeat: Heartbeat,
     ) {
         replica.confirm().getOrElse {
+            registry.lead(leading = false)
             link.send(NotLeading(heartbeat.sequence, leaderAddress()))
             return
         }
@@ -99,7 +103,7 @@
         call: LedgerCall,
     ) {
         val command = ControlCommand.Record(decodeLedgerCommand(call.command))
-        val committed = replica.propose(controlCbor.encodeToByteArray<ControlCommand>(command))
+        val committed = replica.propose(command.encode())
         val reply =
             committed.mapBoth(
                 { LedgerReply(call.call, reply = recorded(it)) },
@@ -109,7 +113,7 @@
     }
 
     private fun recorded(reply: ByteArray): ByteArray? {
-        val decoded = controlCbor.decodeFromByteArray<ControlReply>(reply)
+        val decoded = decodeControlReply(reply)
         return (decoded as? ControlReply.Recorded)?.reply?.encode()
     }
 
--- /dev/null
+++ b/demo/src/main/kotlin/io/carawaytrack/demo/DemoRun.kt
@@ -0,0 +1,129 @@
+/*
+ * The story of the demo: what a caller and an operator do, and what must come of it.
+ */
+package io.carawaytrack.demo
+
+import com.github.michaelbull.result.getOrElse
+import io.carawaytrack.model.ConfigurationChange
+import io.carawaytrack.model.ZoneName
+import io.carawaytrack.tables.readTables
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import java.nio.file.Path
+import java.util.UUID
+
+private const val REQUESTS_WHILE_ZONE_OUT = 10
+private const val OK = 200
+private const val TAKEN_ZONE = "zone-1"
+private const val CHAT_PATH = "/v1/chat/completions"
+
+private val servicesInOrder = listOf("stock-a", "stock-b")
+private val upstreamsInTakenZone = setOf("quill-small-a", "stock-a")
+
+internal class DemoRun(
+    private val folder: Path,
+    private val client: DemoClient,
+) {
+    suspend fun run() {
+        awaitReady()
+        applyTables()
+        chat()
+        streamedSession()
+        reservation()
+        moveZone()
+    }
+
+    private suspend fun awaitReady() {
+        client.until("a leading control host") { client.status() != null }
+        client.until("every upstream announced") {
+            client.status()?.upstreams?.size == client.addresses.upstreams.size
+        }
+        say("control leads, ${client.addresses.upstreams.size} upstreams have announced themselves")
+    }
+
+    private suspend fun applyTables() {
+        val tables =
+            readTables(folder.resolve(ROUTES_FILE), folder.resolve(POOLS_FILE)).getOrElse { faults ->
+                error(faults.joinToString("\n"))
+            }
+        changeEverywhere(ConfigurationChange.ApplyTables(tables))
+        client.until("ready entries") { client.ready("entry-1") && client.ready("entry-2") }
+        say("tables in force everywhere")
+    }
+
+    private suspend fun changeEverywhere(change: ConfigurationChange) {
+        val number = client.change(change)
+        client.until("configuration $number everywhere") {
+            val holders = client.status()?.holders.orEmpty()
+            holders.isNotEmpty() && holders.all { it.configurationNumber >= number }
+        }
+    }
+
+    private suspend fun chat() {
+        val answer = client.call(0, CHAT_PATH, chatBody(stream = false))
+        check(answer.status == OK) { "expected a chat answer with status $OK, got ${answer.status}: ${answer.body}" }
+        val choices = Json.parseToJsonElement(answer.body).jsonObject["choices"] as? JsonArray
+        check(!choices.isNullOrEmpty()) { "expected choices in the answer, got ${answer.body}" }
+        say("chat ${answer.requestId} served by ${answer.version} on ${answer.upstream}")
+    }
+
+    private suspend fun streamedSession() {
+        val session = mapOf("X-Session-Id" to UUID.randomUUID().toString())
+        val versions =
+            List(2) { entry ->
+                val answer = client.call(entry, CHAT_PATH, chatBody(stream = true), session)
+                check(answer.status == OK) { "expected a stream, got ${answer.status}: ${answer.body}" }
+                check(answer.body.trim().endsWith("data: [DONE]")) { "expected a whole stream, got ${answer.body}" }
+                say("draft ${answer.requestId} streamed by ${answer.version} on ${answer.upstream}")
+                answer.version
+            }
+        check(versions.distinct().size == 1) { "expected one version for the session, got $versions" }
+    }
+
+    private suspend fun reservation() {
+        val key = mapOf("Idempotency-Key" to UUID.randomUUID().toString())
+        val before = reservations()
+        val answers = List(2) { entry -> client.call(entry, "/stock/reservations", RESERVATION, key) }
+        check(answers.all { it.status / HUNDRED == 2 }) { "expected two accepted reservations, got $answers" }
+        check(answers[0].body == answers[1].body) { "expected the same reservation twice, got $answers" }
+        check(answers[1].repeated) { "expected the second answer to be a repeat, got ${answers[1]}" }
+        val made = reservations() - before
+        check(made == 1) { "expected one reservation, got $made" }
+        say("reservation ${answers[0].requestId} sent twice ran once, on ${answers[0].upstream}")
+    }
+
+    private suspend fun reservations(): Int = servicesInOrder.sumOf { upstream ->
+        val counters = Json.parseToJsonElement(client.upstreamCounters(upstream)).jsonObject
+        counters.started()
+    }
+
+    private fun JsonObject.started(): Int = get("total")?.jsonObject?.get("started")?.jsonPrimitive?.int ?: 0
+
+    private suspend fun moveZone() {
+        changeEverywhere(ConfigurationChange.SetZone(ZoneName(TAKEN_ZONE), inService = false))
+        val used = serveSome()
+        check(used.none { it in upstreamsInTakenZone }) { "expected nothing from $TAKEN_ZONE, got $used" }
+        say("$TAKEN_ZONE is out; ${used.size} requests served by ${used.distinct().sorted()}")
+        changeEverywhere(ConfigurationChange.SetZone(ZoneName(TAKEN_ZONE), inService = true))
+        client.until("work in $TAKEN_ZONE again") { serveSome().any { it in upstreamsInTakenZone } }
+        say("$TAKEN_ZONE is back and receives work")
+    }
+
+    private suspend fun serveSome(): List<String> = List(REQUESTS_WHILE_ZONE_OUT) { index ->
+        val answer = client.call(index % 2, CHAT_PATH, chatBody(stream = false))
+        check(answer.status == OK) { "expected status $OK, got ${answer.status}: ${answer.body}" }
+        answer.upstream.orEmpty()
+    }
+
+    private fun say(line: String): Unit = println(line)
+}
+
+private const val HUNDRED = 100
+private const val RESERVATION = """{"item":"drawer-rail","quantity":1}"""
+
+private fun chatBody(stream: Boolean) = """{"model":"draft","stream":$stream,"max_tokens":16,""" +
+    """"messages":[{"role":"user","content":"Draft a letter of condolence."}]}"""
--- a/membership/src/main/kotlin/io/carawaytrack/membership/Lease.kt
+++ b/membership/src/main/kotlin/io/carawaytrack/membership/Lease.kt
@@ -5,9 +5,6 @@
  */
 package io.carawaytrack.membership
 
-/** Duration of a lease, in milliseconds; it leaves the rest of the in-force bound for commit and delivery. */
-public const val LEASE_MILLIS: Long = 3_000
-
 /** Tells whether the holder may place new work. */
 public interface Lease {
     /** Returns the time left, in milliseconds; 0 when there is no lease. */
--- a/model/src/main/kotlin/io/carawaytrack/model/Configuration.kt
+++ b/model/src/main/kotlin/io/carawaytrack/model/Configuration.kt
@@ -163,3 +163,6 @@
 
 /** Bound within which a change is in force everywhere and a part taken out receives no new work, in milliseconds. */
 public const val IN_FORCE_BOUND_MILLIS: Long = 5_000
+
+/** Duration of a lease, in milliseconds; it leaves the rest of the in-force bound for commit and delivery. */
+public const val LEASE_MILLIS: Long = 3_000
