Test the log store and the replicated log under faults

Ruled out: a logger in module consensus (its API is not on the module's test class path, and a library should not choose where a halt is reported): the driver now hands the reason to `onHalt`.

The harness checks at every millisecond one leader a term, one command an index and complete new leaders; HistoryTest checks what clients were told, log matching and that all is applied in the end.

--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/GroupReplica.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/GroupReplica.kt
@@ -81,6 +81,8 @@
  *
  * @param send hands a message of at most 512 KiB to the network; must not block, and may lose, delay, repeat or
  * reorder it
+ * @param onHalt learns why the replica has stopped for good: `ShuttingDown` after a close, `StorageFailed` when the
+ * disk refused a call, else `Internal`
  */
 public fun openReplica(
     group: ReplicaGroup,
@@ -89,12 +91,13 @@
     send: (NodeId, ByteArray) -> Unit,
     nowMillis: () -> Long,
     random: Random,
+    onHalt: (Failure) -> Unit,
     settings: ReplicaSettings = ReplicaSettings(),
 ): Result<GroupReplica, Failure> = openLogStore(disk, group.clusterId, group.node)
     .map { store ->
         val core = RaftCore(group, settings, store.recovered, random, nowMillis())
         val codec = MessageCodec(group.clusterId, store.recovered.identity.incarnation)
-        ThreadedReplica(ReplicaDriver(core, store, stateMachine, codec, send, nowMillis), settings)
+        ThreadedReplica(ReplicaDriver(core, store, stateMachine, codec, send, nowMillis, onHalt), settings)
     }.mapError { ErrorKind.StorageFailed.notRun(it.detail) }
 
 private const val MAX_TAKEN = 4_096
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
@@ -18,11 +18,8 @@
 import io.carawaytrack.storage.LogEntry
 import io.carawaytrack.storage.LogStore
 import io.carawaytrack.storage.StorageFailure
-import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.TreeMap
 
-private val logger = KotlinLogging.logger {}
-
 /** Takes the outcome of a call. */
 internal typealias Answer = (Result<ByteArray, Failure>) -> Unit
 
@@ -66,6 +63,7 @@
     private val codec: MessageCodec,
     private val send: (NodeId, ByteArray) -> Unit,
     private val nowMillis: () -> Long,
+    private val onHalt: (Failure) -> Unit,
 ) {
     private class Waiting(
         val term: Long,
@@ -170,13 +168,14 @@
         kind: ErrorKind,
         detail: String,
     ) {
-        if (halted == null && kind == ErrorKind.StorageFailed) logger.error { "replica ${state.node} halts: $detail" }
-        halted = halted ?: kind
+        if (halted != null) return
+        halted = kind
         state.leader = null
         abandonWaiting(kind, detail)
         calls.values.forEach { it(Err(kind.notRun(detail))) }
         calls.clear()
         status = currentStatus()
+        onHalt(kind.notRun(detail))
     }
 
     private fun abandonWaiting(
--- /dev/null
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/TestGroup.kt
@@ -0,0 +1,316 @@
+/*
+ * A few replicas on one thread over a fake network, fake disks and a fake clock, all drawn from one seed. After every
+ * step it checks what must hold in any run: one leader a term, one command an index, and leaders that hold all that was
+ * ever committed.
+ */
+package io.carawaytrack.consensus
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.unwrap
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.storage.FolderIdentity
+import io.carawaytrack.storage.initialiseFolder
+import io.carawaytrack.storage.openLogStore
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+internal val testSettings =
+    ReplicaSettings(
+        electionTimeoutMillis = 200,
+        heartbeatMillis = 50,
+        snapshotEveryEntries = 60,
+        keptEntries = 10,
+        snapshotChunkBytes = 300,
+        promotionLagEntries = 4,
+    )
+
+/** Collects the applied commands in order. */
+internal class ListMachine(
+    private val onApply: (Long, String) -> Unit,
+) : StateMachine {
+    var applied = listOf<String>()
+        private set
+
+    override fun apply(
+        index: Long,
+        command: ByteArray,
+    ): ByteArray {
+        onApply(index, String(command))
+        applied = applied + String(command)
+        return applied.size.toString().toByteArray()
+    }
+
+    override fun snapshot() = applied.joinToString("\n").toByteArray()
+
+    override fun restore(snapshot: ByteArray) {
+        applied = String(snapshot).lines().filter(String::isNotEmpty)
+    }
+}
+
+/** Holds the outcome of a call once there is one. */
+internal class Call {
+    var outcome: Result<ByteArray, Failure>? = null
+        private set
+    val failure: Failure? get() = outcome?.let { if (it.isErr) it.error() else null }
+    val succeeded: Boolean get() = outcome?.isOk == true
+
+    fun complete(result: Result<ByteArray, Failure>) {
+        check(outcome == null) { "expected one outcome, got $outcome and then $result" }
+        outcome = result
+    }
+
+    private fun Result<ByteArray, Failure>.error() = component2()
+}
+
+internal class Host(
+    val node: NodeId,
+    val initialMembers: List<NodeId>,
+) {
+    var disk = MemoryDisk()
+    var driver: ReplicaDriver? = null
+    var core: RaftCore? = null
+    lateinit var machine: ListMachine
+    val inbox = ArrayList<Request>()
+    var frozen = false
+}
+
+internal class TestGroup(
+    seed: Int,
+    size: Int = 3,
+    private val settings: ReplicaSettings = testSettings,
+) {
+    private class Travelling(
+        val atMillis: Long,
+        val number: Long,
+        val from: NodeId,
+        val to: NodeId,
+        val payload: ByteArray,
+    )
+
+    val random = Random(seed)
+    val hosts = LinkedHashMap<NodeId, Host>()
+    val cuts = HashSet<Pair<NodeId, NodeId>>()
+    var nowMillis = 1_000L
+        private set
+    var longestDelayMillis = 3L
+    var lossPercent = 0
+    var duplicatePercent = 0
+    var largestMessageBytes = 0
+        private set
+    private val network = PriorityQueue<Travelling>(compareBy({ it.atMillis }, { it.number }))
+    private var sent = 0L
+    private var incarnations = 0L
+    private val leaderOfTerm = HashMap<Long, NodeId>()
+    private val commandAt = HashMap<Long, String>()
+
+    init {
+        val nodes = (1..size).map { NodeId("c$it") }
+        nodes.forEach { add(it, nodes) }
+    }
+
+    fun add(
+        node: NodeId,
+        initialMembers: List<NodeId> = emptyList(),
+    ): Host {
+        val host = Host(node, initialMembers)
+        hosts[node] = host
+        initialise(host)
+        start(host)
+        return host
+    }
+
+    fun start(host: Host) {
+        val store = openLogStore(host.disk, "test", host.node, segmentBytes = 1_024).unwrap()
+        host.machine = ListMachine { index, command -> recordApplied(index, command) }
+        val group = ReplicaGroup("test", host.node, host.initialMembers)
+        val core = RaftCore(group, settings, store.recovered, Random(random.nextInt()), nowMillis)
+        val codec = MessageCodec("test", store.recovered.identity.incarnation)
+        val send = { to: NodeId, payload: ByteArray -> transmit(host.node, to, payload) }
+        host.core = core
+        host.driver = ReplicaDriver(core, store, host.machine, codec, send, { nowMillis }, onHalt = {})
+    }
+
+    fun crash(host: Host) {
+        host.driver = null
+        host.core = null
+        host.inbox.clear()
+        host.disk.crash(random)
+    }
+
+    /** Starts [host] again, on a disk that takes calls again. */
+    fun restart(host: Host) {
+        if (host.driver != null) crash(host)
+        host.disk.failSync = false
+        start(host)
+    }
+
+    /** Gives [host] an empty disk and initialises it anew, as a careless operator might. */
+    fun loseDisk(host: Host) {
+        crash(host)
+        host.disk = MemoryDisk()
+    }
+
+    fun initialise(host: Host) =
+        initialiseFolder(host.disk, FolderIdentity("test", host.node, incarnation = ++incarnations)).unwrap()
+
+    fun propose(
+        host: Host,
+        command: String,
+    ) = call(host) { Request.Propose(command.toByteArray(), it) }
+
+    fun confirm(host: Host) = call(host) { Request.Confirm(it) }
+
+    fun change(
+        host: Host,
+        change: MemberChange,
+    ) = call(host) { Request.ChangeMembers(change, it) }
+
+    private fun call(
+        host: Host,
+        request: (Answer) -> Request,
+    ): Call {
+        val call = Call()
+        host.inbox += request(call::complete)
+        return call
+    }
+
+    fun cut(
+        from: Host,
+        to: Host,
+    ) {
+        cuts += from.node to to.node
+    }
+
+    fun isolate(host: Host) = (hosts.values - host).forEach { other -> cut(host, other).also { cut(other, host) } }
+
+    fun heal() = cuts.clear()
+
+    fun leader(): Host? =
+        hosts.values.filter { it.driver?.status?.leading == true }.maxByOrNull { it.driver!!.status.term }
+
+    /** Runs until [condition] holds. */
+    fun runUntil(
+        expected: String,
+        withinMillis: Long = 10_000,
+        condition: () -> Boolean,
+    ) {
+        val deadline = nowMillis + withinMillis
+        while (!condition()) {
+            check(nowMillis < deadline) { "expected $expected, waited $withinMillis ms; ${describe()}" }
+            run(millis = 1)
+        }
+    }
+
+    fun run(millis: Long) = repeat(millis.toInt()) { runOneMillisecond() }
+
+    fun electLeader(): Host {
+        runUntil("a leader that confirms") { leader()?.let { confirmed(it) } == true }
+        return leader()!!
+    }
+
+    /** Proposes each of [commands] to whichever host leads until it is acknowledged; a command may appear twice. */
+    fun commit(commands: List<String>) = commands.forEach { command ->
+        var call: Call? = null
+        runUntil("$command committed") {
+            if (call == null || call?.failure != null) call = leader()?.let { propose(it, command) }
+            call?.succeeded == true
+        }
+    }
+
+    fun runUntilAllApplied(
+        commands: List<String>,
+        on: Collection<Host> = hosts.values,
+    ) = runUntil("all of ${commands.size} commands on ${on.map { it.node }}") {
+        on.all { it.machine.applied.containsAll(commands) }
+    }
+
+    private fun confirmed(host: Host): Boolean {
+        val call = confirm(host)
+        run(millis = 20)
+        return call.succeeded
+    }
+
+    private fun runOneMillisecond() {
+        nowMillis++
+        while (network.isNotEmpty() && network.peek().atMillis <= nowMillis) deliver(network.poll())
+        hosts.values.filter { !it.frozen }.forEach(::turn)
+        check()
+    }
+
+    private fun turn(host: Host) {
+        val driver = host.driver ?: return
+        val requests = host.inbox.toList()
+        host.inbox.clear()
+        val due = nowMillis % TICK_MILLIS == 0L
+        if (due || requests.isNotEmpty()) driver.turn(if (due) requests + Request.Tick else requests)
+    }
+
+    private fun transmit(
+        from: NodeId,
+        to: NodeId,
+        payload: ByteArray,
+    ) {
+        largestMessageBytes = maxOf(largestMessageBytes, payload.size)
+        if (random.nextInt(PERCENT) < lossPercent) return
+        val copies = if (random.nextInt(PERCENT) < duplicatePercent) 2 else 1
+        repeat(copies) {
+            network += Travelling(nowMillis + 1 + random.nextLong(longestDelayMillis), sent++, from, to, payload)
+        }
+    }
+
+    private fun deliver(message: Travelling) {
+        if (message.from to message.to in cuts) return
+        val host = hosts[message.to] ?: return
+        if (host.driver != null) host.inbox += Request.Receive(message.from, message.payload)
+    }
+
+    private fun recordApplied(
+        index: Long,
+        command: String,
+    ) {
+        val first = commandAt.getOrPut(index) { command }
+        check(first == command) { "expected $first at index $index, got $command applied" }
+    }
+
+    private fun check() = hosts.values.forEach { host ->
+        val status = host.driver?.status ?: return@forEach
+        if (!status.leading) return@forEach
+        val known = leaderOfTerm[status.term]
+        check(known == null || known == host.node) { "expected $known to lead ${status.term}, got ${host.node}" }
+        if (known == null) checkComplete(host)
+        leaderOfTerm[status.term] = host.node
+    }
+
+    private fun checkComplete(host: Host) {
+        val log = host.core!!.state.log
+        commandAt.filterKeys { it > log.baseIndex }.forEach { (index, command) ->
+            val held = if (index <= log.lastIndex) String(log.entry(index).payload) else "nothing"
+            check(held == command) { "expected the new leader ${host.node} to hold $command at $index, got $held" }
+        }
+    }
+
+    /** Checks that logs which agree on an entry's term agree on all before it. */
+    fun checkLogsMatch() {
+        val logs = hosts.values.mapNotNull { it.core?.state?.log }
+        for (one in logs) {
+            for (other in logs) {
+                val first = maxOf(one.baseIndex, other.baseIndex) + 1
+                val shared = (first..minOf(one.lastIndex, other.lastIndex)).toList()
+                val agreed = shared.lastOrNull { one.termAt(it) == other.termAt(it) } ?: continue
+                shared.filter { it <= agreed }.forEach { index ->
+                    val equal = one.entry(index).payload.contentEquals(other.entry(index).payload)
+                    check(equal && one.termAt(index) == other.termAt(index)) { "expected equal entries at $index" }
+                }
+            }
+        }
+    }
+
+    private fun describe() = hosts.values.joinToString { it.driver?.status?.toString() ?: "${it.node} is down" }
+
+    private companion object {
+        const val TICK_MILLIS = 10L
+        const val PERCENT = 100
+    }
+}
