Drive the administration API from the command line

Cause: operators need one program to check and apply the tables, to take zones and upstreams out and back, to move versions and roll-outs, and to see what is in force where; scripts need its exit codes and JSON.

Ruled out: picocli's own execution (commands would block a thread each, and their waits could not run on virtual time in tests); giving up at the first control host that does not lead; a new operation id for a resend (control would apply the change twice).

Change: carawayctl with its commands, text and JSON reports and one enum of exit codes. The client asks the control hosts in turn, each for at most 2 s, until the leader answers or the time is up, and keeps the operation id. `--wait` looks at the status until every process has the change or the bound of 5 s is over. HTTP is a function type; a fake takes its place in tests.

No run against a control process: there is none yet.

Conclusion: whole but for the run against control.

--- /dev/null
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/HttpTransport.kt
@@ -0,0 +1,54 @@
+/*
+ * The transport of the administration API over HTTP.
+ */
+package io.carawaytrack.ctl
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.prepareRequest
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.contentType
+import io.ktor.utils.io.readRemaining
+import kotlinx.io.readString
+import java.io.IOException
+
+/** Longest answer that is read, in bytes. */
+private const val HIGHEST_BODY_BYTES = 64L * 1024 * 1024
+
+/** Creates the HTTP client that [httpTransport] sends by; whoever creates it closes it. */
+internal fun adminHttpClient(): HttpClient = HttpClient(CIO) {
+    expectSuccess = false
+    followRedirects = false
+    engine { requestTimeout = TRY_TIMEOUT_MILLIS }
+}
+
+/** Creates a transport that sends by [client]. */
+internal fun httpTransport(client: HttpClient): AdminTransport = { request ->
+    try {
+        Ok(client.prepare(request).execute { it.toAdminResponse() })
+    } catch (e: IOException) {
+        Err(NoAnswer(e.message ?: e.toString()))
+    }
+}
+
+private suspend fun HttpClient.prepare(request: AdminRequest) =
+    prepareRequest("http://${request.address}${request.pathAndQuery}") {
+        method = HttpMethod.parse(request.method)
+        bearerAuth(request.token)
+        request.body?.let {
+            contentType(ContentType.Application.Json)
+            setBody(it)
+        }
+    }
+
+private suspend fun HttpResponse.toAdminResponse(): AdminResponse {
+    val body = bodyAsChannel().readRemaining(HIGHEST_BODY_BYTES).readString()
+    return AdminResponse(status.value, body)
+}
--- /dev/null
+++ b/ctl/src/test/kotlin/io/carawaytrack/ctl/FakeControl.kt
@@ -0,0 +1,91 @@
+/*
+ * Control hosts that answer from a script, and the surroundings of a run against them.
+ */
+package io.carawaytrack.ctl
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.HolderStatus
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.StatusReport
+import io.carawaytrack.model.ZoneName
+import io.carawaytrack.model.notRun
+import java.nio.file.Path
+import kotlin.io.path.writeText
+
+/** Gives one answer of a control host, or hangs. */
+internal typealias Answer = suspend () -> Result<AdminResponse, NoAnswer>
+
+internal const val ACCEPTED = """{"number":7}"""
+
+internal fun answer(body: String): Result<AdminResponse, NoAnswer> = Ok(AdminResponse(200, body))
+
+internal fun refusal(kind: ErrorKind): Result<AdminResponse, NoAnswer> =
+    Ok(AdminResponse(kind.status, adminJson.encodeToString(Failure.serializer(), kind.notRun())))
+
+internal fun cut(): Result<AdminResponse, NoAnswer> = Err(NoAnswer("connection refused"))
+
+internal fun statusAnswer(vararg held: Long): Result<AdminResponse, NoAnswer> =
+    answer(adminJson.encodeToString(StatusReport.serializer(), statusReport(held.toList())))
+
+internal fun statusReport(held: List<Long>) = StatusReport(
+    configurationNumber = 7,
+    leader = NodeId("control-1"),
+    control = emptyList(),
+    holders =
+        held.mapIndexed { index, number ->
+            HolderStatus(NodeId("entry-${index + 1}"), NodeRole.Entry, ZoneName("north"), number, 40)
+        },
+    upstreams = emptyList(),
+    zonesOut = emptySet(),
+    upstreamsOut = emptySet(),
+    versionStates = emptyMap(),
+    rollouts = emptyList(),
+)
+
+/** Runs carawayctl against control hosts that give [answers] in turn, the last one for ever. */
+internal class FakeControl(
+    private val answers: List<Answer>,
+    private val environment: Map<String, String> = emptyMap(),
+    private val input: String = "",
+) {
+    val requests = mutableListOf<AdminRequest>()
+    val out = mutableListOf<String>()
+    val errors = mutableListOf<String>()
+
+    suspend fun run(vararg arguments: String): ExitCode {
+        val surroundings =
+            Surroundings(
+                transport = { request ->
+                    requests += request
+                    answers[minOf(requests.size, answers.size) - 1]()
+                },
+                environment = environment::get,
+                readInput = { input },
+                newOperationId = { "op-1" },
+                printOut = out::add,
+                printError = errors::add,
+            )
+        return runCarawayctl(arguments.toList(), surroundings)
+    }
+}
+
+/** Creates a control that gives [answers] in turn to an operator whose token file is in [folder]. */
+internal fun fakeControl(
+    folder: Path,
+    vararg answers: Answer,
+    input: String = "",
+): FakeControl {
+    val tokenFile = folder.resolve("token").apply { writeText("secret-token\n") }
+    val environment =
+        mapOf(
+            CONTROL_VARIABLE to "127.0.0.1:1,127.0.0.1:2",
+            TOKEN_FILE_VARIABLE to tokenFile.toString(),
+            "USER" to "dana",
+        )
+    return FakeControl(answers.toList(), environment, input)
+}
--- a/tables/src/main/kotlin/io/carawaytrack/tables/SettingsReader.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/SettingsReader.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.carawaytrack.model.HostPort
+import kotlinx.serialization.Serializable
 import java.nio.file.Path
 
 /**
@@ -17,6 +18,7 @@
  * @property value what the file says, null when the key is missing
  * @property expected what is allowed
  */
+@Serializable
 public data class Fault(
     val file: String,
     val line: Int,
