--- /dev/null
+++ b/tables/src/test/kotlin/io/carawaytrack/tables/ExamplesTest.kt
@@ -0,0 +1,36 @@
+/*
+ * The example tables that the project ships.
+ */
+package io.carawaytrack.tables
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import java.nio.file.Path
+import kotlin.io.path.listDirectoryEntries
+import kotlin.io.path.name
+
+class ExamplesTest {
+    private val deployments = Path.of("..", "examples").listDirectoryEntries().sorted()
+
+    @Test
+    fun `both deployments have their tables`() {
+        expectThat(deployments.map { it.name }).containsExactly("penmark", "sajha")
+    }
+
+    @TestFactory
+    fun `each example is sound and serves ten organisations`(): List<DynamicTest> = deployments.map { folder ->
+        dynamicTest(folder.name) {
+            val tables = readTables(folder.resolve("routes.toml"), folder.resolve("pools.toml"))
+            expectThat(tables.getError().orEmpty()).isEmpty()
+            expectThat(tables.get()?.organisations?.size).isEqualTo(10)
+        }
+    }
+}
