--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/JsonLogs.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/JsonLogs.kt
@@ -34,7 +34,7 @@
     sink: (String) -> Unit = System.err::println,
 ): AutoCloseable {
     val context = LoggerFactory.getILoggerFactory() as LoggerContext
-    val lines = LineAppender(encoder(context, node, role, zone), sink)
+    val lines = LineAppender(encoder(context, Origin(node, role, zone)), sink)
     val queue = queue(context, lines)
     val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
     root.detachAndStopAllAppenders()
@@ -78,23 +78,22 @@
 private const val REQUEST_ID = "requestId"
 private const val IGNORED = "[ignore]"
 private const val QUEUED_LINES = 4_096
+private const val CLOSE_TIMEOUT_MILLIS = 5_000
 
 private fun encoder(
     context: LoggerContext,
-    node: NodeId,
-    role: NodeRole,
-    zone: ZoneName,
+    origin: Origin,
 ): LogstashEncoder {
-    val origin =
+    val fields =
         buildJsonObject {
-            put("node", node.value)
-            put("role", role.name)
-            put("availabilityZone", zone.value)
+            put("node", origin.node.value)
+            put("role", origin.role.name)
+            put("availabilityZone", origin.zone.value)
         }
     val encoder = LogstashEncoder()
     encoder.context = context
     encoder.fieldNames = fieldNames()
-    encoder.customFields = origin.toString()
+    encoder.customFields = fields.toString()
     encoder.start()
     return encoder
 }
@@ -117,6 +116,7 @@
     val queue = AsyncAppender()
     queue.context = context
     queue.queueSize = QUEUED_LINES
+    queue.maxFlushTime = CLOSE_TIMEOUT_MILLIS
     queue.isNeverBlock = true
     queue.addAppender(lines)
     queue.start()
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/ObservabilityServer.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/ObservabilityServer.kt
@@ -4,6 +4,7 @@
 package io.carawaytrack.telemetry
 
 import io.carawaytrack.model.HostPort
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.Application
@@ -16,8 +17,12 @@
 import io.ktor.server.routing.routing
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.runBlocking
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 
 /** Answers `/healthz`, `/readyz` and `/metrics` until it is closed. */
 public interface ObservabilityServer : AutoCloseable {
@@ -34,22 +39,31 @@
     registry: PrometheusRegistry,
     ready: () -> Boolean,
 ): ObservabilityServer {
-    val server = embeddedServer(CIO, address.port, address.host) { observe(registry, ready) }
-    server.start(wait = false)
-    val port =
-        runBlocking {
-            server.engine
-                .resolvedConnectors()
-                .first()
-                .port
-        }
-    return KtorObservabilityServer(server, port)
+    val onFailure = CoroutineExceptionHandler { _, failure -> log.warn(failure) { "serving $address failed" } }
+    val server = CoroutineScope(onFailure).embeddedServer(CIO, address.port, address.host) { observe(registry, ready) }
+    return KtorObservabilityServer(server, port = startOn(address, server))
 }
 
 private const val STOP_GRACE_MILLIS = 100L
 private const val STOP_TIMEOUT_MILLIS = 1_000L
+private val log = KotlinLogging.logger {}
 private val metricsWriter = PrometheusTextFormatWriter.create()
 
+private fun startOn(
+    address: HostPort,
+    server: EmbeddedServer<*, *>,
+): Int = try {
+    server.start(wait = false)
+    val connectors = runBlocking { server.engine.resolvedConnectors() }
+    connectors.first().port
+} catch (failure: CancellationException) {
+    // The engine reports a failed bind as a cancellation, which a coroutine would take for its own.
+    server.stop(0, 0)
+    throw IOException("cannot listen on $address: ${rootOf(failure).message}", failure)
+}
+
+private fun rootOf(failure: Throwable): Throwable = generateSequence(failure) { it.cause }.last()
+
 private class KtorObservabilityServer(
     private val server: EmbeddedServer<*, *>,
     override val port: Int,
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/SpanExport.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/SpanExport.kt
@@ -29,8 +29,8 @@
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 
-/** Names the process whose spans are written. */
-internal data class SpanOrigin(
+/** Names the process that spans and logs come from. */
+internal data class Origin(
     val node: NodeId,
     val role: NodeRole,
     val zone: ZoneName,
@@ -54,7 +54,7 @@
 
 /** Writes each span as one line of JSON to [sink]. */
 internal class JsonLineSpanExporter(
-    private val origin: SpanOrigin,
+    private val origin: Origin,
     private val sink: (String) -> Unit,
 ) : SpanExporter {
     override fun export(spans: Collection<SpanData>): CompletableResultCode = try {
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/Telemetry.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/Telemetry.kt
@@ -104,7 +104,7 @@
             .setSampler(Sampler.parentBased(Sampler.traceIdRatioBased(settings.sampleRatio)))
             .setSpanLimits(spanLimits)
     if (sink != null) {
-        val exporter = JsonLineSpanExporter(SpanOrigin(node, role, zone), sink)
+        val exporter = JsonLineSpanExporter(Origin(node, role, zone), sink)
         provider.addSpanProcessor(QueueingSpanProcessor(exporter, settings.queueSpans, SpanMetrics(registry)))
     }
     return SdkTelemetry(registry, provider.build())
--- /dev/null
+++ b/telemetry/src/test/kotlin/io/carawaytrack/telemetry/JsonLogsTest.kt
@@ -0,0 +1,94 @@
+/*
+ * Log lines as a collector reads them: one object a line, whatever the message holds.
+ */
+package io.carawaytrack.telemetry
+
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.RequestId
+import io.carawaytrack.model.ZoneName
+import io.github.oshai.kotlinlogging.KLogger
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.slf4j.MDC
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsKeys
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import java.util.concurrent.CopyOnWriteArrayList
+
+class JsonLogsTest {
+    private val log = KotlinLogging.logger("caraway.test")
+
+    private fun linesOf(
+        level: Level = Level.INFO,
+        act: (KLogger) -> Unit,
+    ): List<String> {
+        val lines = CopyOnWriteArrayList<String>()
+        installJsonLogs(NodeId("entry-1"), NodeRole.Entry, ZoneName("a"), level) { lines += it }.use { act(log) }
+        return lines
+    }
+
+    private data class Case(
+        val name: String,
+        val act: (KLogger) -> Unit,
+        val fields: Map<String, String>,
+    )
+
+    private val cases =
+        listOf(
+            Case(
+                "a plain message",
+                { it.info { "started" } },
+                mapOf("level" to "INFO", "logger" to "caraway.test", "message" to "started"),
+            ),
+            Case(
+                "a message with line breaks and quotes",
+                { it.warn { "a \"b\"\n{\"level\":\"ERROR\"}" } },
+                mapOf("level" to "WARN", "message" to "a \"b\"\n{\"level\":\"ERROR\"}"),
+            ),
+            Case(
+                "a message of a request",
+                { it.info(RequestId("r-1")) { "ended" } },
+                mapOf("requestId" to "r-1", "message" to "ended"),
+            ),
+            Case(
+                "a request's failure with its cause",
+                { it.error(RequestId("r-2"), IllegalStateException("broken")) { "failed" } },
+                mapOf("requestId" to "r-2", "level" to "ERROR"),
+            ),
+            Case(
+                "a message under a diagnostic context",
+                { log -> MDC.putCloseable("requestId", "r-3").use { log.warn { "inside" } } },
+                mapOf("requestId" to "r-3"),
+            ),
+        )
+
+    @TestFactory
+    fun `one line of JSON holds`(): List<DynamicTest> = cases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            val line = linesOf(act = case.act).single()
+            val fields = line.toJson()
+            expectThat(line.lines().size).isEqualTo(1)
+            expectThat(case.fields.mapValues { (field, _) -> fields.text(field) }).isEqualTo(case.fields)
+            expectThat(fields).containsKeys("timestamp", "thread")
+            expectThat(listOf("node", "role", "availabilityZone").map(fields::text))
+                .isEqualTo(listOf("entry-1", "Entry", "a"))
+        }
+    }
+
+    @Test
+    fun `a cause is written with its stack`() {
+        val line = linesOf { it.error(RequestId("r"), IllegalStateException("broken")) { "failed" } }.single()
+        expectThat(line.toJson().text("stackTrace")).contains("IllegalStateException: broken")
+    }
+
+    @Test
+    fun `messages below the level are left out`() {
+        expectThat(linesOf(Level.WARN) { it.info { "quiet" } }).isEmpty()
+    }
+}
--- /dev/null
+++ b/telemetry/src/test/kotlin/io/carawaytrack/telemetry/ObservabilityServerTest.kt
@@ -0,0 +1,82 @@
+/*
+ * The observability port as a supervisor and Prometheus ask it.
+ */
+package io.carawaytrack.telemetry
+
+import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.ZoneName
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.api.expectThrows
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+
+private val anyPort = HostPort("127.0.0.1", 0)
+
+class ObservabilityServerTest {
+    private val telemetry = Telemetry(NodeId("entry-1"), NodeRole.Entry, ZoneName("a"))
+
+    private fun get(
+        server: ObservabilityServer,
+        path: String,
+    ): HttpResponse<String> {
+        val request = HttpRequest.newBuilder(URI("http://127.0.0.1:${server.port}$path")).build()
+        return HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString())
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        "/healthz, true, 200",
+        "/healthz, false, 200",
+        "/readyz, true, 200",
+        "/readyz, false, 503",
+        "/metrics, false, 200",
+        "/other, true, 404",
+    )
+    fun `each path answers by the state of the process`(
+        path: String,
+        ready: Boolean,
+        status: Int,
+    ) {
+        ObservabilityServer(anyPort, telemetry.registry) { ready }.use { server ->
+            expectThat(get(server, path).statusCode()).isEqualTo(status)
+        }
+    }
+
+    @Test
+    fun `the metrics are in the Prometheus text format`() {
+        ObservabilityServer(anyPort, telemetry.registry) { true }.use { server ->
+            val answer = get(server, "/metrics")
+            expectThat(answer.headers().firstValue("Content-Type").get()).contains("text/plain")
+            expectThat(answer.body())
+                .contains("# TYPE jvm_memory_used_bytes gauge")
+                .contains("jvm_memory_used_bytes{area=\"heap\"}")
+        }
+    }
+
+    @Test
+    fun `a port in use is refused at once`() {
+        ObservabilityServer(anyPort, telemetry.registry) { true }.use { server ->
+            expectThrows<IOException> {
+                ObservabilityServer(HostPort("127.0.0.1", server.port), telemetry.registry) { true }
+            }.get { message }.isEqualTo("cannot listen on 127.0.0.1:${server.port}: Address already in use")
+        }
+    }
+
+    @Test
+    fun `a closed server gives its port back`() {
+        val port = ObservabilityServer(anyPort, telemetry.registry) { true }.use { it.port }
+        val again = ObservabilityServer(HostPort("127.0.0.1", port), telemetry.registry) { true }
+        again.use { expectThat(it.port == port).isTrue() }
+    }
+}
