Keep the observability port open through a graceful shutdown

Cause: Ktor registers a shutdown hook of its own with each embedded server, which closes the port at SIGTERM while the process still drains, so /readyz no longer answers 503 but not at all. Ruled out: starting the engine without EmbeddedServer, as its types are internal; startSuspend, which calls start and registers the hook too. Change: the property that turns the hook off is set before the first server starts; it holds for every Ktor server of the process that starts later. A change in whether spans can be written is logged once; the phase of a roll-out is a label of its percentage. Conclusion: the port answers until it is closed. A caller's port that starts before this one must have the property set earlier.

--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HolderMetrics.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HolderMetrics.kt
@@ -4,7 +4,6 @@
 package io.carawaytrack.telemetry
 
 import io.carawaytrack.model.Configuration
-import io.carawaytrack.model.RolloutPhase
 import io.carawaytrack.model.VersionState
 import io.prometheus.metrics.core.datapoints.GaugeDataPoint
 import io.prometheus.metrics.core.metrics.Gauge
@@ -35,9 +34,9 @@
         versionState.replace(states(configuration))
     }
 
-    private fun percentages(configuration: Configuration) = configuration.rollouts
-        .filter { it.phase == RolloutPhase.Running || it.phase == RolloutPhase.Paused }
-        .associate { listOf(it.name, it.to.toString()) to it.percent.toDouble() }
+    private fun percentages(configuration: Configuration) = configuration.rollouts.associate {
+        listOf(it.name, it.to.toString(), it.phase.name) to it.percent.toDouble()
+    }
 
     private fun states(configuration: Configuration): Map<List<String>, Double> {
         val serving = versionsOf(configuration).associateWith { VersionState.Serving }
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
@@ -47,6 +47,7 @@
 internal const val VERSION_LABEL = "version"
 internal const val ZONE_LABEL = "availability_zone"
 internal const val ROLLOUT_LABEL = "rollout"
+private const val PHASE_LABEL = "phase"
 private const val KIND_LABEL = "kind"
 private const val EXECUTION_LABEL = "execution"
 
@@ -120,9 +121,10 @@
     internal val rolloutPercent =
         gauge(
             "caraway_rollout_percent",
-            "Share of new requests that a roll-out asks for.",
+            "Percent of new requests that a roll-out asks for.",
             ROLLOUT_LABEL,
             VERSION_LABEL,
+            PHASE_LABEL,
         )
     internal val versionState =
         gauge("caraway_version_state", "1 for the state that a version is in.", VERSION_LABEL, "state")
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/ObservabilityServer.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/ObservabilityServer.kt
@@ -39,6 +39,8 @@
     registry: PrometheusRegistry,
     ready: () -> Boolean,
 ): ObservabilityServer {
+    // The engine's own hook would close the port at the signal, before the graceful shutdown has ended.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val onFailure = CoroutineExceptionHandler { _, failure -> log.warn(failure) { "serving $address failed" } }
     val server = CoroutineScope(onFailure).embeddedServer(CIO, address.port, address.host) { observe(registry, ready) }
     return KtorObservabilityServer(server, port = startOn(address, server))
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/SpanExport.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/SpanExport.kt
@@ -19,7 +19,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import java.io.IOException
-import java.io.Writer
+import java.io.OutputStream
 import java.nio.file.Files
 import java.nio.file.Path
 import java.nio.file.StandardOpenOption
@@ -103,6 +103,8 @@
     private val writer =
         ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS, ArrayBlockingQueue(capacity), threads, onFullQueue)
 
+    private var failing = false
+
     override fun onStart(
         parentContext: Context,
         span: ReadWriteSpan,
@@ -126,6 +128,12 @@
     private fun write(span: SpanData) {
         val result = exporter.export(listOf(span))
         if (result.isSuccess) metrics.written() else metrics.dropped()
+        if (result.isSuccess == failing) tellChange(result.failureThrowable)
+        failing = !result.isSuccess
+    }
+
+    private fun tellChange(failure: Throwable?) {
+        if (failure == null) log.info { "spans are written again" } else log.warn(failure) { "spans cannot be written" }
     }
 
     private companion object {
@@ -139,18 +147,18 @@
     private val path: Path,
 ) : (String) -> Unit,
     AutoCloseable {
-    private var writer: Writer? = null
+    private var file: OutputStream? = null
 
     override fun invoke(line: String) {
-        val open = writer ?: open().also { writer = it }
-        open.append(line).append('\n').flush()
+        val open = file ?: open().also { file = it }
+        open.write("$line\n".encodeToByteArray())
     }
 
     override fun close() {
-        writer?.close()
+        file?.close()
     }
 
-    private fun open(): Writer = Files.newBufferedWriter(path, StandardOpenOption.CREATE, StandardOpenOption.APPEND)
+    private fun open(): OutputStream = Files.newOutputStream(path, StandardOpenOption.CREATE, StandardOpenOption.APPEND)
 }
 
 /** Returns a sink that passes each line to the logger `spans`. */
--- a/telemetry/src/test/kotlin/io/carawaytrack/telemetry/ObservabilityServerTest.kt
+++ b/telemetry/src/test/kotlin/io/carawaytrack/telemetry/ObservabilityServerTest.kt
@@ -73,6 +73,14 @@
         }
     }
 
+    @Test
+    fun `the end of the process is left to its owner`() {
+        ObservabilityServer(anyPort, telemetry.registry) { true }.use {
+            val closesAtSignal = Class.forName("io.ktor.server.engine.ShutdownHookJvmKt")
+            expectThat(closesAtSignal.getMethod("getSHUTDOWN_HOOK_ENABLED").invoke(null)).isEqualTo(false)
+        }
+    }
+
     @Test
     fun `a closed server gives its port back`() {
         val port = ObservabilityServer(anyPort, telemetry.registry) { true }.use { it.port }
