--- /dev/null
+++ b/limits/src/test/kotlin/io/carawaytrack/limits/RetryBudgetTest.kt
@@ -0,0 +1,40 @@
+/*
+ * The retry budget as a table of requests seen and retries granted.
+ */
+package io.carawaytrack.limits
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class RetryBudgetTest {
+    private data class Case(
+        val name: String,
+        val requests: Int,
+        val laterMillis: Long,
+        val granted: Int,
+    )
+
+    private val cases =
+        listOf(
+            Case("few requests leave the least", requests = 1, laterMillis = 0, granted = 2),
+            Case("many requests leave their share", requests = 100, laterMillis = 0, granted = 10),
+            Case("requests within the window still count", requests = 100, laterMillis = 8_900, granted = 10),
+            Case("requests before the window count no more", requests = 100, laterMillis = 10_000, granted = 2),
+            Case("requests long ago count no more", requests = 100, laterMillis = 10_000_000, granted = 2),
+        )
+
+    @TestFactory
+    fun `retries are a share of recent requests`(): List<DynamicTest> = cases.map { case ->
+        dynamicTest(case.name) {
+            var nowMillis = 0L
+            val settings = RetrySettings(retryRatio = 0.1, leastRetries = 2, windowMillis = 10_000)
+            val budget = RetryBudget(settings) { nowMillis }
+            repeat(case.requests) { budget.requested() }
+            nowMillis += case.laterMillis
+            expectThat((1..50).count { budget.tryRetry() }).isEqualTo(case.granted)
+        }
+    }
+}
--- /dev/null
+++ b/limits/src/test/kotlin/io/carawaytrack/limits/SlowStartTest.kt
@@ -0,0 +1,101 @@
+/*
+ * Slow start as tables of what an upstream shows and the permits that follow.
+ */
+package io.carawaytrack.limits
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
+
+class SlowStartTest {
+    private class Bench {
+        var nowMillis = 0L
+        val slowStart =
+            SlowStart(SlowStartSettings(startPermits = 2, maxPermits = 16, rampMillis = 1_000)) { nowMillis }
+
+        fun complete(
+            count: Int,
+            tokenMillis: Long,
+            eachMillis: Long = 100,
+        ) = repeat(count) {
+            nowMillis += eachMillis
+            slowStart.completed(latencyMillis = tokenMillis * TOKENS, tokens = TOKENS)
+        }
+
+        fun warmUp() = complete(200, tokenMillis = 10)
+    }
+
+    private data class Case(
+        val name: String,
+        val permits: IntRange,
+        val steps: Bench.() -> Unit,
+    )
+
+    private val cases =
+        listOf(
+            Case("nothing seen leaves the start", 2..2) { nowMillis += 60_000 },
+            Case("one round shows nothing yet", 2..2) { complete(2, tokenMillis = 10) },
+            Case("good requests lead to the maximum", 16..16) { warmUp() },
+            Case(
+                "good requests lead no faster than the ramp",
+                2..9,
+            ) { complete(500, tokenMillis = 10, eachMillis = 1) },
+            Case("latency that still falls is no evidence", 2..2) {
+                listOf(160L, 80, 40, 20, 10).forEach { complete(2, tokenMillis = it) }
+            },
+            Case("one slow request is no relapse", 16..16) {
+                warmUp()
+                complete(1, tokenMillis = 100)
+            },
+            Case("slow requests in a row are a relapse", 2..2) {
+                warmUp()
+                complete(3, tokenMillis = 100)
+            },
+            Case("good requests between slow ones are no relapse", 16..16) {
+                warmUp()
+                repeat(4) {
+                    complete(2, tokenMillis = 100)
+                    complete(1, tokenMillis = 10)
+                }
+            },
+            Case("failures in a row are a relapse", 2..2) {
+                warmUp()
+                repeat(3) { slowStart.failed() }
+            },
+            Case("a restart takes the permits back at once", 2..2) {
+                warmUp()
+                slowStart.restarted()
+            },
+            Case("after a relapse the ramp holds although the latency is known", 2..3) {
+                warmUp()
+                slowStart.restarted()
+                complete(50, tokenMillis = 10, eachMillis = 1)
+            },
+            Case("after a relapse slow requests keep the permits low", 2..2) {
+                warmUp()
+                slowStart.restarted()
+                complete(50, tokenMillis = 25)
+            },
+            Case("after a relapse good requests lead back to the maximum", 16..16) {
+                warmUp()
+                slowStart.restarted()
+                warmUp()
+            },
+        )
+
+    @TestFactory
+    fun `permits follow the evidence`(): List<DynamicTest> = cases.map { case ->
+        dynamicTest(case.name) {
+            val bench = Bench().apply(case.steps)
+            expectThat(bench.slowStart.permits).isIn(case.permits)
+            expectThat(bench.slowStart.isWarm).isEqualTo(bench.slowStart.permits == 16)
+        }
+    }
+
+    private companion object {
+        const val TOKENS = 50L
+    }
+}
