--- a/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
@@ -97,18 +97,22 @@
  * @property memoryRatings ratings after which an old one has lost most of its weight
  * @property newVersionShare share of requests, 0 to 1, that try versions which are not proven yet
  * @property recheckShare share of requests, 0 to 1, that try proven versions which the plan leaves out
+ * @property promisingShare share of requests, 0 to 1, for a cheaper plan that meets the target in expectation alone
  * @property unratedLimit requests that a tried version may get before another rating has come in
  * @property cascades whether a plan may have two steps
+ * @property leastCascadeSaving share of a single version's cost, 0 to 1, that a cascade must save to be worth its delay
  */
 public data class PlannerSettings(
     val zScore: Double = 1.645,
     val priorRatings: Double = 10.0,
     val provenRatings: Int = 30,
     val memoryRatings: Int = 500,
-    val newVersionShare: Double = 0.1,
-    val recheckShare: Double = 0.01,
+    val newVersionShare: Double = 0.3,
+    val recheckShare: Double = 0.02,
+    val promisingShare: Double = 0.5,
     val unratedLimit: Int = 60,
     val cascades: Boolean = true,
+    val leastCascadeSaving: Double = 0.1,
 )
 
 /** Creates a planner that draws roll-out shares, weights and trials from [random]; it may be shared by threads. */
@@ -156,7 +160,7 @@
     ): Plan = lock.withLock {
         val estimates = estimatesOf(request.route.name)
         val choice = estimates.choice(PlanKey(members, request.route.qualityTarget, !request.startsSession))
-        val steps = if (request.startsSession) choice.best(random) else choice.draw(random, settings)
+        val steps = choice.draw(random, settings)
         steps.forEach { estimates.of(it.version).unrated++ }
         Plan(steps)
     }
--- a/routing/src/main/kotlin/io/carawaytrack/routing/RouteEstimates.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/RouteEstimates.kt
@@ -27,24 +27,26 @@
  * Holds the best plan and those that are worth a trial.
  *
  * @property peers members that are as good as the best plan's only step at the same price, itself among them
+ * @property promising cheaper plan whose expected quality meets the target, though not yet with confidence
  */
 internal class PlanChoice(
     private val best: List<PlanStep>,
     private val peers: List<PoolMember>,
+    private val promising: List<PlanStep>?,
     private val newTrials: List<List<PlanStep>>,
     private val rechecks: List<List<PlanStep>>,
 ) {
     /** Returns the best plan, drawn among its peers by their weights. */
-    fun best(random: Random): List<PlanStep> =
+    private fun best(random: Random): List<PlanStep> =
         if (peers.size > 1) listOf(PlanStep(byWeight(peers, random).version)) else best
 
     fun draw(
         random: Random,
         settings: PlannerSettings,
     ): List<PlanStep> {
-        val drawn = random.nextDouble()
-        if (drawn < settings.newVersionShare && newTrials.isNotEmpty()) return newTrials.random(random)
-        if (drawn > 1.0 - settings.recheckShare && rechecks.isNotEmpty()) return rechecks.random(random)
+        if (newTrials.isNotEmpty() && random.nextDouble() < settings.newVersionShare) return newTrials.random(random)
+        if (rechecks.isNotEmpty() && random.nextDouble() < settings.recheckShare) return rechecks.random(random)
+        if (promising != null && random.nextDouble() < settings.promisingShare) return promising
         return best(random)
     }
 }
@@ -88,13 +90,15 @@
     private fun choose(key: PlanKey): PlanChoice {
         val singles = key.members.map { single(it) }
         val cascades = if (key.cascades && settings.cascades) cascades(key.members) else emptyList()
-        val good = (singles + cascades).filter { meets(it, key.target) }
+        val plans = singles + worthwhile(cascades, singles, key.target)
+        val good = plans.filter { meets(it, key.target) }
         val candidates = good.filter { it.proven }.ifEmpty { good }
         val best = candidates.minByOrNull { it.cost } ?: singles.maxBy { it.quality.mean }
         val trials = trials(key, best)
         return PlanChoice(
             best = best.steps,
             peers = peers(best, candidates, key.members),
+            promising = promising(plans, best, key.target)?.steps,
             newTrials = trials.filterNot { isProven(it.first().version) },
             rechecks = trials.filter { isProven(it.first().version) },
         )
@@ -105,6 +109,25 @@
         target: Double,
     ): Boolean = plan.quality.mean - settings.zScore * plan.quality.standardError >= target
 
+    /** Drops the [cascades] that save too little against a good single version to be worth their delay. */
+    private fun worthwhile(
+        cascades: List<EvaluatedPlan>,
+        singles: List<EvaluatedPlan>,
+        target: Double,
+    ): List<EvaluatedPlan> {
+        val single = singles.filter { meets(it, target) }.minOfOrNull { it.cost } ?: return cascades
+        return cascades.filter { it.cost <= single * (1.0 - settings.leastCascadeSaving) }
+    }
+
+    private fun promising(
+        plans: List<EvaluatedPlan>,
+        best: EvaluatedPlan,
+        target: Double,
+    ): EvaluatedPlan? = plans
+        .filter { it.cost < best.cost && it.quality.mean >= target }
+        .filter { of(it.steps.first().version).unrated < settings.unratedLimit }
+        .minByOrNull { it.cost }
+
     private fun peers(
         best: EvaluatedPlan,
         candidates: List<EvaluatedPlan>,
@@ -144,16 +167,31 @@
         }
     }
 
-    /** Returns trials of the versions that cost less than [best] and are not in it; a good answer is still certain. */
+    /**
+     * Returns trials of versions that cost less than [best] and are not in it. Where a cascade is possible, a good
+     * answer is certain all the same; elsewhere only versions that may yet turn out to meet the target are tried.
+     */
     private fun trials(
         key: PlanKey,
         best: EvaluatedPlan,
     ): List<List<PlanStep>> {
-        if (!key.cascades || !settings.cascades) return emptyList()
         val used = best.steps.map { it.version }
-        return key.members
-            .filter { it.version !in used && cost(it) < best.cost && of(it.version).unrated < settings.unratedLimit }
-            .map { listOf(PlanStep(it.version, key.target), best.steps.last()) }
+        val cheaper =
+            key.members.filter {
+                it.version !in used && cost(it) < best.cost && of(it.version).unrated < settings.unratedLimit
+            }
+        if (key.cascades && settings.cascades) {
+            return cheaper.map { listOf(PlanStep(it.version, key.target), best.steps.last()) }
+        }
+        return cheaper.filter { mayMeet(it, key.target) }.map { listOf(PlanStep(it.version)) }
+    }
+
+    private fun mayMeet(
+        member: PoolMember,
+        target: Double,
+    ): Boolean {
+        val quality = directQuality(member)
+        return quality.mean + settings.zScore * quality.standardError >= target
     }
 
     private fun directQuality(member: PoolMember): Estimate =
--- a/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamChooser.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamChooser.kt
@@ -34,7 +34,10 @@
     /** Replaces or extends what is known of the announced upstreams; see [Membership.complete]. */
     public fun update(membership: Membership)
 
-    /** Takes in a load that an agent sent along with an answer or a refusal. */
+    /**
+     * Takes in a load that an agent sent along with an answer or a refusal; the attempt that it ended is no longer in
+     * it, so [finished] goes first.
+     */
     public fun report(
         upstream: UpstreamId,
         load: UpstreamLoad,
--- a/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamTable.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamTable.kt
@@ -14,8 +14,8 @@
 
 private const val SHARD_COUNT = 16
 
-/** Age that the load in an announcement may have when it arrives, in milliseconds. */
-private const val ANNOUNCEMENT_LAG_MILLIS = 1_000L
+/** Age that the load in an announcement is taken to have when it arrives, in milliseconds. */
+private const val ANNOUNCEMENT_LAG_MILLIS = 500L
 
 /** Shows one upstream at the moment of a choice, its load corrected by the entry's own attempts. */
 internal data class UpstreamView(
@@ -51,12 +51,12 @@
     fun started(
         upstream: UpstreamId,
         tokens: Long,
-    ) = shardOf(upstream).started(upstream, tokens)
+    ) = shardOf(upstream).started(upstream, tokens, nowMillis())
 
     fun finished(
         upstream: UpstreamId,
         tokens: Long,
-    ) = shardOf(upstream).finished(upstream, tokens)
+    ) = shardOf(upstream).finished(upstream, tokens, nowMillis())
 
     /** Returns a view of every announced upstream for which [accepts] holds. */
     fun candidates(accepts: (Announcement) -> Boolean): List<UpstreamView> =
@@ -96,12 +96,14 @@
     fun started(
         upstream: UpstreamId,
         tokens: Long,
-    ): Unit = lock.withLock { slots[upstream]?.started(tokens) }
+        atMillis: Long,
+    ): Unit = lock.withLock { slots[upstream]?.started(tokens, atMillis) }
 
     fun finished(
         upstream: UpstreamId,
         tokens: Long,
-    ): Unit = lock.withLock { slots[upstream]?.finished(tokens) }
+        atMillis: Long,
+    ): Unit = lock.withLock { slots[upstream]?.finished(tokens, atMillis) }
 
     fun addTo(
         views: MutableList<UpstreamView>,
@@ -116,14 +118,18 @@
 ) {
     var announcement = announcement
         private set
-    private var reportedAtMillis = Long.MIN_VALUE / 2
     private var reported = announcement.load
+    private var reportedAtMillis = Long.MIN_VALUE / 2
+    private val recent = ArrayDeque<OwnChange>()
     private var ownRunning = 0
     private var ownTokens = 0L
     private var runningSince = 0
     private var tokensSince = 0L
 
-    /** Takes a newer announcement; its load only when no agent has reported a fresher one with an answer. */
+    /**
+     * Takes a newer announcement. Its load was read some time ago, so that the latest own attempts are not in it; when
+     * an agent has reported a fresher one with an answer, that one stays.
+     */
     fun announce(
         newer: Announcement,
         atMillis: Long,
@@ -132,9 +138,12 @@
         announcement = newer
         if (atMillis - reportedAtMillis < ANNOUNCEMENT_LAG_MILLIS) {
             announcement = newer.copy(load = fresher)
-        } else {
-            takeLoad(newer.load)
+            return
         }
+        takeLoad(newer.load)
+        forgetBefore(atMillis - ANNOUNCEMENT_LAG_MILLIS)
+        runningSince = recent.sumOf { it.running }
+        tokensSince = recent.sumOf { it.tokens }
     }
 
     fun report(
@@ -142,20 +151,21 @@
         atMillis: Long,
     ) {
         reportedAtMillis = atMillis
-        takeLoad(load)
-    }
-
-    private fun takeLoad(load: UpstreamLoad) {
-        reported = load
         announcement = announcement.copy(load = load)
-        runningSince = 0
-        tokensSince = 0
+        takeLoad(load)
+        recent.clear()
     }
 
-    fun started(tokens: Long) = addOwn(1, tokens)
+    fun started(
+        tokens: Long,
+        atMillis: Long,
+    ) = addOwn(OwnChange(atMillis, 1, tokens))
 
-    fun finished(tokens: Long) {
-        if (ownRunning > 0) addOwn(-1, -tokens)
+    fun finished(
+        tokens: Long,
+        atMillis: Long,
+    ) {
+        if (ownRunning > 0) addOwn(OwnChange(atMillis, -1, -tokens))
     }
 
     fun view(): UpstreamView = UpstreamView(
@@ -164,13 +174,29 @@
         outstandingTokens = maxOf(reported.queuedTokens + tokensSince, ownTokens),
     )
 
-    private fun addOwn(
-        running: Int,
-        tokens: Long,
-    ) {
-        ownRunning += running
-        ownTokens += tokens
-        runningSince += running
-        tokensSince += tokens
+    private fun takeLoad(load: UpstreamLoad) {
+        reported = load
+        runningSince = 0
+        tokensSince = 0
+    }
+
+    private fun addOwn(change: OwnChange) {
+        ownRunning += change.running
+        ownTokens += change.tokens
+        runningSince += change.running
+        tokensSince += change.tokens
+        forgetBefore(change.atMillis - ANNOUNCEMENT_LAG_MILLIS)
+        recent.addLast(change)
+    }
+
+    private fun forgetBefore(atMillis: Long) {
+        while (recent.isNotEmpty() && recent.first().atMillis < atMillis) recent.removeFirst()
     }
 }
+
+/** Notes that the entry's own attempts on an upstream became more or fewer. */
+private class OwnChange(
+    val atMillis: Long,
+    val running: Int,
+    val tokens: Long,
+)
--- a/routing/src/test/kotlin/io/carawaytrack/routing/LearningPlannerTest.kt
+++ b/routing/src/test/kotlin/io/carawaytrack/routing/LearningPlannerTest.kt
@@ -40,7 +40,8 @@
     @TestFactory
     fun `the usual plan is`(): List<DynamicTest> = learnings.map { case ->
         dynamicTest(case.name) {
-            val planner = Planner(Random(3), PlannerSettings(newVersionShare = 0.0, recheckShare = 0.0))
+            val planner =
+                Planner(Random(3), PlannerSettings(newVersionShare = 0.0, recheckShare = 0.0, promisingShare = 0.0))
             repeat(200) { planner.observe("draft", large, Observation.Rated(0.94 + it % 2 * 0.02)) }
             case.smallRatings.forEach { planner.observe("draft", small, Observation.Rated(it)) }
             expectThat(planner.versions(case.startsSession)).isEqualTo(case.expected)
@@ -49,7 +50,8 @@
 
     @Test
     fun `a version that starts to fail is left`() {
-        val planner = Planner(Random(3), PlannerSettings(newVersionShare = 0.0, recheckShare = 0.0))
+        val planner =
+            Planner(Random(3), PlannerSettings(newVersionShare = 0.0, recheckShare = 0.0, promisingShare = 0.0))
         repeat(200) { planner.observe("draft", large, Observation.Rated(0.95)) }
         repeat(200) { planner.observe("draft", small, Observation.Rated(0.9)) }
         expectThat(planner.versions()).isEqualTo(listOf(small))
