--- a/control/src/main/kotlin/io/carawaytrack/control/Main.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/Main.kt
@@ -10,6 +10,8 @@
 import io.carawaytrack.consensus.GroupReplica
 import io.carawaytrack.consensus.ReplicaGroup
 import io.carawaytrack.consensus.openReplica
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Failure
 import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.NodeRole
 import io.carawaytrack.process.SETTINGS_EXIT_CODE
@@ -152,9 +154,18 @@
             send = peers::send,
             nowMillis = ::monotonicMillis,
             random = Random(SecureRandom().nextLong()),
+            onHalt = ::halted,
         ).getOrElse { exitWith(it.detail) }
     }
 
+    /** Ends the process when the replica can no longer keep what it acknowledges; the platform starts it again. */
+    private fun halted(failure: Failure) {
+        if (failure.kind == ErrorKind.ShuttingDown) return
+        System.err.println(failure.detail)
+        // An orderly exit would wait for this very thread.
+        Runtime.getRuntime().halt(STORAGE_EXIT_CODE)
+    }
+
     private fun exitWith(detail: String): Nothing {
         System.err.println(detail)
         exitProcess(STORAGE_EXIT_CODE)
--- a/demo/src/main/kotlin/io/carawaytrack/demo/DemoRun.kt
+++ b/demo/src/main/kotlin/io/carawaytrack/demo/DemoRun.kt
@@ -101,7 +101,11 @@
         counters.started()
     }
 
-    private fun JsonObject.started(): Int = get("total")?.jsonObject?.get("started")?.jsonPrimitive?.int ?: 0
+    private fun JsonObject.started(): Int = get("total")
+        ?.jsonObject
+        ?.get("started")
+        ?.jsonPrimitive
+        ?.int ?: 0
 
     private suspend fun moveZone() {
         changeEverywhere(ConfigurationChange.SetZone(ZoneName(TAKEN_ZONE), inService = false))
