--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/Telemetry.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/Telemetry.kt
@@ -88,7 +88,7 @@
     is SpanOutput.JsonLines -> Telemetry(node, role, zone, settings, sink = LineFile(spans.path))
 }
 
-/** Creates telemetry whose spans go to [sink], one line of JSON a call, from one background thread. */
+/** Creates telemetry that hands each span as a line of JSON to [sink], from one background thread; null writes none. */
 public fun Telemetry(
     node: NodeId,
     role: NodeRole,
--- a/telemetry/src/test/kotlin/io/carawaytrack/telemetry/JsonLogsTest.kt
+++ b/telemetry/src/test/kotlin/io/carawaytrack/telemetry/JsonLogsTest.kt
@@ -19,7 +19,9 @@
 import strikt.assertions.containsKeys
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 
 class JsonLogsTest {
     private val log = KotlinLogging.logger("caraway.test")
@@ -91,4 +93,19 @@
     fun `messages below the level are left out`() {
         expectThat(linesOf(Level.WARN) { it.info { "quiet" } }).isEmpty()
     }
+
+    @Test
+    fun `a stuck sink costs lines and does not hold up the caller`() {
+        val goOn = CountDownLatch(1)
+        val lines = CopyOnWriteArrayList<String>()
+        val logs =
+            installJsonLogs(NodeId("entry-1"), NodeRole.Entry, ZoneName("a")) {
+                goOn.await()
+                lines += it
+            }
+        repeat(10_000) { log.info { "line" } }
+        goOn.countDown()
+        logs.close()
+        expectThat(lines.size).isLessThan(10_000)
+    }
 }
