--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Follower.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Follower.kt
@@ -38,6 +38,8 @@
         from: NodeId,
         chunk: SnapshotChunk,
     ) {
+        // What follows an entry that the log shares with the snapshot may have been acknowledged and is kept.
+        if (state.log.termAt(chunk.index) == chunk.snapshotTerm) state.commitTo(chunk.index)
         if (chunk.index <= state.commitIndex) return accept(from, chunk, chunk.index)
         val buffer = bufferFor(chunk)
         if (chunk.offsetBytes == buffer.size()) buffer.write(chunk.bytes)
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/GroupReplica.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/GroupReplica.kt
@@ -22,6 +22,8 @@
 import kotlin.random.Random
 
 private const val DEFAULT_PART_BYTES = 256 * 1024
+private const val DEFAULT_SNAPSHOT_EVERY_BYTES = 16L * 1024 * 1024
+private const val DEFAULT_KEPT_BYTES = 4L * 1024 * 1024
 
 /**
  * Sets how a replica behaves; all replicas of a group should use the same values.
@@ -30,7 +32,9 @@
  * which a leader stops leading
  * @property heartbeatMillis longest time between two messages of a leader to each member
  * @property snapshotEveryEntries entries applied between two snapshots
+ * @property snapshotEveryBytes bytes of commands applied between two snapshots; bounds the log in memory
  * @property keptEntries entries kept before a snapshot for members that lag a little
+ * @property keptBytes bound on the bytes of those entries
  * @property maxBatchBytes bound on the entries of one message
  * @property maxCommandBytes bound on one command
  * @property snapshotChunkBytes bound on the part of a snapshot in one message
@@ -42,7 +46,9 @@
     val electionTimeoutMillis: Long = 1_000,
     val heartbeatMillis: Long = 100,
     val snapshotEveryEntries: Int = 10_000,
+    val snapshotEveryBytes: Long = DEFAULT_SNAPSHOT_EVERY_BYTES,
     val keptEntries: Int = 1_000,
+    val keptBytes: Long = DEFAULT_KEPT_BYTES,
     val maxBatchBytes: Int = DEFAULT_PART_BYTES,
     val maxCommandBytes: Int = DEFAULT_PART_BYTES,
     val snapshotChunkBytes: Int = DEFAULT_PART_BYTES,
@@ -79,6 +85,7 @@
  *
  * Fails with `StorageFailed` when [disk] was not initialised for this node or can't be read.
  *
+ * @param stateMachine in its first state; a snapshot and the log after it are played into it again
  * @param send hands a message of at most 512 KiB to the network; must not block, and may lose, delay, repeat or
  * reorder it
  * @param onHalt learns why the replica has stopped for good: `ShuttingDown` after a close, `StorageFailed` when the
@@ -94,10 +101,10 @@
     onHalt: (Failure) -> Unit,
     settings: ReplicaSettings = ReplicaSettings(),
 ): Result<GroupReplica, Failure> = openLogStore(disk, group.clusterId, group.node)
-    .map { store ->
-        val core = RaftCore(group, settings, store.recovered, random, nowMillis())
-        val codec = MessageCodec(group.clusterId, store.recovered.identity.incarnation)
-        ThreadedReplica(ReplicaDriver(core, store, stateMachine, codec, send, nowMillis, onHalt), settings)
+    .map { opened ->
+        val core = RaftCore(group, settings, opened.recovered, random, nowMillis())
+        val codec = MessageCodec(group.clusterId, opened.recovered.identity.incarnation)
+        ThreadedReplica(ReplicaDriver(core, opened.store, stateMachine, codec, send, nowMillis, onHalt), settings)
     }.mapError { ErrorKind.StorageFailed.notRun(it.detail) }
 
 private const val MAX_TAKEN = 4_096
@@ -114,7 +121,17 @@
 
     @Volatile
     private var finished: ErrorKind? = null
-    private val worker = thread(name = "replica-${driver.status.node}", isDaemon = true) { run() }
+    private val worker = thread(start = false, name = "replica-${driver.status.node}", isDaemon = true) { run() }
+
+    init {
+        worker.setUncaughtExceptionHandler {
+            _,
+            thrown,
+            ->
+            stop(ErrorKind.Internal, "the replica's thread threw $thrown")
+        }
+        worker.start()
+    }
 
     override suspend fun propose(command: ByteArray): Result<ByteArray, Failure> {
         if (command.size > settings.maxCommandBytes) return Err(tooLarge(command.size))
@@ -150,21 +167,23 @@
     }
 
     private fun run() {
-        var outcome = ErrorKind.Internal
-        try {
-            val taken = ArrayList<Request>()
-            while (!closing) {
-                queue.poll(settings.heartbeatMillis / TICKS_PER_HEARTBEAT, TimeUnit.MILLISECONDS)?.let(taken::add)
-                queue.drainTo(taken, MAX_TAKEN)
-                driver.turn(taken + Request.Tick)
-                taken.clear()
-            }
-            outcome = ErrorKind.ShuttingDown
-        } finally {
-            driver.close(outcome)
-            finished = outcome
-            refuseQueued(outcome)
+        val taken = ArrayList<Request>()
+        while (!closing) {
+            queue.poll(settings.heartbeatMillis / TICKS_PER_HEARTBEAT, TimeUnit.MILLISECONDS)?.let(taken::add)
+            queue.drainTo(taken, MAX_TAKEN)
+            driver.turn(taken + Request.Tick)
+            taken.clear()
         }
+        stop(ErrorKind.ShuttingDown)
+    }
+
+    private fun stop(
+        kind: ErrorKind,
+        detail: String = kind.explanation,
+    ) {
+        driver.close(kind, detail)
+        finished = kind
+        refuseQueued(kind)
     }
 
     private fun refuseQueued(kind: ErrorKind) {
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftLog.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftLog.kt
@@ -99,15 +99,15 @@
         return first
     }
 
-    /** Makes a snapshot of [state] at [index] the newest one and drops entries, but for the [keptEntries] before it. */
+    /** Makes a snapshot of [state] at [index] the newest one and drops all entries before it but for the last few. */
     fun compact(
         index: Long,
         state: ByteArray,
-        keptEntries: Int,
+        settings: ReplicaSettings,
     ): StoredSnapshot {
         val members = history.last { it.index <= index }.members
         val taken = StoredSnapshot(index, checkNotNull(termAt(index)), members.encode(), state)
-        val newBase = maxOf(baseIndex, index - keptEntries)
+        val newBase = keptBase(index, settings)
         val newBaseTerm = checkNotNull(termAt(newBase))
         entries.subList(0, (newBase - baseIndex).toInt()).clear()
         val current = history.last { it.index <= newBase }
@@ -118,6 +118,21 @@
         return taken
     }
 
+    private fun keptBase(
+        index: Long,
+        settings: ReplicaSettings,
+    ): Long {
+        val lowest = maxOf(baseIndex, index - settings.keptEntries)
+        var base = index
+        var bytes = 0L
+        while (base > lowest) {
+            bytes += entry(base).payload.size
+            if (bytes > settings.keptBytes) break
+            base--
+        }
+        return base
+    }
+
     /** Makes the log go on after a snapshot made elsewhere. */
     fun install(installed: StoredSnapshot) {
         entries.clear()
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftState.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftState.kt
@@ -142,7 +142,7 @@
         index: Long,
         state: ByteArray,
     ) {
-        val snapshot = log.compact(index, state, settings.keptEntries)
+        val snapshot = log.compact(index, state, settings)
         effects.taken = TakenSnapshot(snapshot, log.baseIndex + 1)
     }
 
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
@@ -76,6 +76,7 @@
     private var lastCall: CallId = 0
     private var appliedIndex = 0L
     private var snapshotIndex = 0L
+    private var bytesSinceSnapshot = 0L
     private var halted: ErrorKind? = null
 
     @Volatile
@@ -95,8 +96,11 @@
     }
 
     /** Stops for good; calls whose entries are in the log may still take effect through other replicas. */
-    fun close(kind: ErrorKind) {
-        halt(kind, kind.explanation)
+    fun close(
+        kind: ErrorKind,
+        detail: String,
+    ) {
+        halt(kind, detail)
         store.close()
     }
 
@@ -128,13 +132,17 @@
     private fun followUps(effects: Effects): List<Input> {
         val inputs = ArrayList<Input>()
         effects.append.lastOrNull()?.let { inputs += Input.Persisted(it.index) }
-        if (appliedIndex - snapshotIndex >= state.settings.snapshotEveryEntries) {
+        if (snapshotIsDue()) {
             snapshotIndex = appliedIndex
+            bytesSinceSnapshot = 0
             inputs += Input.SnapshotTaken(appliedIndex, stateMachine.snapshot())
         }
         return inputs
     }
 
+    private fun snapshotIsDue() = appliedIndex - snapshotIndex >= state.settings.snapshotEveryEntries ||
+        bytesSinceSnapshot >= state.settings.snapshotEveryBytes
+
     private fun persist(effects: Effects): Result<Unit, StorageFailure> = saved(effects.termVote) { store.saveTerm(it) }
         .andThen { saved(effects.install) { store.installSnapshot(it) } }
         .andThen { saved(effects.taken) { store.saveSnapshot(it.snapshot, it.firstKeptIndex) } }
@@ -151,6 +159,7 @@
         val command = entry.kind == EntryKind.COMMAND
         val reply = if (command) stateMachine.apply(entry.index, entry.payload) else ByteArray(0)
         appliedIndex = entry.index
+        bytesSinceSnapshot += entry.payload.size
         val caller = waiting.remove(entry.index) ?: return
         caller.answer(if (caller.term == entry.term) Ok(reply) else Err(uncertain(ErrorKind.ControlUnavailable)))
     }
@@ -162,6 +171,7 @@
         stateMachine.restore(snapshot)
         appliedIndex = index
         snapshotIndex = index
+        bytesSinceSnapshot = 0
     }
 
     private fun halt(
--- /dev/null
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/OpenReplicaTest.kt
@@ -0,0 +1,129 @@
+/*
+ * The replica with its thread, as the control hosts open it: a group of one, whose clock advances by every look at it.
+ */
+package io.carawaytrack.consensus
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.unwrap
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Execution
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.storage.FolderIdentity
+import io.carawaytrack.storage.initialiseFolder
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
+
+class OpenReplicaTest {
+    private val node = NodeId("c1")
+    private val disk = MemoryDisk()
+    private val clock = AtomicLong()
+    private val halts = LinkedBlockingQueue<Failure>()
+    private lateinit var machine: ListMachine
+
+    @Test
+    fun `many calls at once are all answered and survive a restart`() = runTest {
+        initialise()
+        open().use { replica ->
+            lead(replica)
+            val replies = (1..200).map { async { replica.propose("w$it".toByteArray()) } }.awaitAll()
+            expectThat(replies.all { it.isOk }).isTrue()
+            expectThat(replica.confirm().isOk).isTrue()
+        }
+        val written = machine.applied
+        open().use { replica ->
+            lead(replica)
+            expectThat(machine.applied).isEqualTo(written)
+            expectThat(machine.applied).containsExactlyInAnyOrder((1..200).map { "w$it" })
+        }
+    }
+
+    @Test
+    fun `a folder that was never initialised is refused`() {
+        expectThat(tryOpen().getError()).isNotNull().get { kind }.isEqualTo(ErrorKind.StorageFailed)
+    }
+
+    @Test
+    fun `a command over the bound is refused`() = runTest {
+        initialise()
+        open().use { replica ->
+            lead(replica)
+            val failure = replica.propose(ByteArray(ReplicaSettings().maxCommandBytes + 1)).getError()
+            expectThat(failure)
+                .isNotNull()
+                .get { kind to execution }
+                .isEqualTo(ErrorKind.BodyTooLarge to Execution.NotRun)
+        }
+    }
+
+    @Test
+    fun `a closed replica refuses every call and names why it halted`() = runTest {
+        initialise()
+        val replica = open()
+        lead(replica)
+        replica.close()
+        val failures =
+            listOf(
+                replica.propose("late".toByteArray()).getError(),
+                replica.confirm().getError(),
+                replica.changeMembers(MemberChange.AddLearner(NodeId("c2"))).getError(),
+            )
+        failures.forEach {
+            expectThat(it)
+                .isNotNull()
+                .get { kind to execution }
+                .isEqualTo(ErrorKind.ShuttingDown to Execution.NotRun)
+        }
+        expectThat(halts.poll(10, TimeUnit.SECONDS)?.kind).isEqualTo(ErrorKind.ShuttingDown)
+    }
+
+    @Test
+    fun `a state machine that throws halts its replica and the call is answered`() = runTest {
+        initialise()
+        open().use { replica ->
+            lead(replica)
+            val failure = replica.propose("poison".toByteArray()).getError()
+            expectThat(failure)
+                .isNotNull()
+                .get { kind to execution }
+                .isEqualTo(ErrorKind.Internal to Execution.MayHaveRun)
+            expectThat(halts.poll(10, TimeUnit.SECONDS)?.kind).isEqualTo(ErrorKind.Internal)
+            expectThat(replica.confirm().getError()?.kind).isEqualTo(ErrorKind.Internal)
+        }
+    }
+
+    private fun initialise() = initialiseFolder(disk, FolderIdentity("test", node, incarnation = 1)).unwrap()
+
+    private fun open() = tryOpen().unwrap()
+
+    private fun tryOpen(): Result<GroupReplica, Failure> {
+        machine = ListMachine { _, command -> check(command != "poison") { "injected: $command" } }
+        return openReplica(
+            group = ReplicaGroup("test", node, listOf(node)),
+            disk = disk,
+            stateMachine = machine,
+            send = { _, _ -> },
+            nowMillis = { clock.addAndGet(100) },
+            random = Random(1),
+            onHalt = halts::add,
+        )
+    }
+
+    /** Asks until the replica leads; every call moves the clock on. */
+    private suspend fun lead(replica: Replica) {
+        repeat(1_000) { if (replica.confirm().isOk) return }
+        error("expected $node to lead after 1000 calls, found ${replica.status()}")
+    }
+}
--- a/consensus/src/test/kotlin/io/carawaytrack/consensus/TestGroup.kt
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/TestGroup.kt
@@ -122,14 +122,14 @@
     }
 
     fun start(host: Host) {
-        val store = openLogStore(host.disk, "test", host.node, segmentBytes = 1_024).unwrap()
+        val opened = openLogStore(host.disk, "test", host.node, segmentBytes = 1_024).unwrap()
         host.machine = ListMachine { index, command -> recordApplied(index, command) }
         val group = ReplicaGroup("test", host.node, host.initialMembers)
-        val core = RaftCore(group, settings, store.recovered, Random(random.nextInt()), nowMillis)
-        val codec = MessageCodec("test", store.recovered.identity.incarnation)
+        val core = RaftCore(group, settings, opened.recovered, Random(random.nextInt()), nowMillis)
+        val codec = MessageCodec("test", opened.recovered.identity.incarnation)
         val send = { to: NodeId, payload: ByteArray -> transmit(host.node, to, payload) }
         host.core = core
-        host.driver = ReplicaDriver(core, store, host.machine, codec, send, { nowMillis }, onHalt = {})
+        host.driver = ReplicaDriver(core, opened.store, host.machine, codec, send, { nowMillis }, onHalt = {})
     }
 
     fun crash(host: Host) {
--- a/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
+++ b/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
@@ -59,11 +59,14 @@
     public val entries: List<LogEntry>,
 )
 
+/** Holds an opened store and what its folder held. */
+public class OpenedLog(
+    public val store: LogStore,
+    public val recovered: RecoveredState,
+)
+
 /** Makes the state of one replica durable; what a successful call was given survives a crash after its return. */
 public interface LogStore : AutoCloseable {
-    /** What the folder held when it was opened. */
-    public val recovered: RecoveredState
-
     /** Appends [entries] with one sync; an index that the log already holds drops that entry and all after it. */
     public fun append(entries: List<LogEntry>): Result<Unit, StorageFailure>
 
@@ -106,7 +109,7 @@
     clusterId: String,
     node: NodeId,
     segmentBytes: Int = DEFAULT_SEGMENT_BYTES,
-): Result<LogStore, StorageFailure> = onDisk {
+): Result<OpenedLog, StorageFailure> = onDisk {
     readIdentity(disk, clusterId, node).andThen { identity -> Ok(openStore(disk, identity, segmentBytes)) }
 }
 
@@ -144,16 +147,16 @@
     disk: Disk,
     identity: FolderIdentity,
     segmentBytes: Int,
-): LogStore {
+): OpenedLog {
     val snapshot = disk.read(SNAPSHOT_FILE)?.let { decodeSnapshot(unsealed(SNAPSHOT_FILE, it)) }
     val termFile = disk.read(TERM_FILE) ?: throw CorruptException("expected the file $TERM_FILE, found none")
     val log = readLog(disk)
     val entries = entriesAfter(snapshot, log.entries)
     val recovered =
         RecoveredState(identity, decodeTerm(unsealed(TERM_FILE, termFile)), snapshot, entries.orEmpty())
-    val store = SegmentedLogStore(disk, recovered, log.segments, segmentBytes)
+    val store = SegmentedLogStore(disk, log.segments, segmentBytes)
     if (entries == null && snapshot != null) store.dropLog(snapshot)
-    return store
+    return OpenedLog(store, recovered)
 }
 
 /** Returns the entries that follow [snapshot], or null when the snapshot replaces the whole log. */
@@ -232,7 +235,6 @@
 
 private class SegmentedLogStore(
     private val disk: Disk,
-    override val recovered: RecoveredState,
     segments: List<Segment>,
     private val segmentBytes: Int,
 ) : LogStore {
--- a/storage/src/test/kotlin/io/carawaytrack/storage/LogStoreTest.kt
+++ b/storage/src/test/kotlin/io/carawaytrack/storage/LogStoreTest.kt
@@ -43,11 +43,10 @@
             store.saveTerm(TermVote(3, NodeId("c2"))).unwrap()
             store.append(entries(1..4, term = 3)).unwrap()
         }
-        open().use { store ->
-            expectThat(store.recovered.identity).isEqualTo(identity)
-            expectThat(store.recovered.termVote).isEqualTo(TermVote(3, NodeId("c2")))
-            expectThat(store.recovered.entries.map(::describe)).isEqualTo(described(1..4, term = 3))
-        }
+        val recovered = recover()
+        expectThat(recovered.identity).isEqualTo(identity)
+        expectThat(recovered.termVote).isEqualTo(TermVote(3, NodeId("c2")))
+        expectThat(recovered.entries.map(::describe)).isEqualTo(described(1..4, term = 3))
     }
 
     @Test
@@ -57,10 +56,8 @@
             store.append(entries(1..6, term = 1)).unwrap()
             store.append(entries(4..5, term = 2)).unwrap()
         }
-        open().use { store ->
-            val expected = described(1..3, term = 1) + described(4..5, term = 2)
-            expectThat(store.recovered.entries.map(::describe)).isEqualTo(expected)
-        }
+        val expected = described(1..3, term = 1) + described(4..5, term = 2)
+        expectThat(recover().entries.map(::describe)).isEqualTo(expected)
     }
 
     @Test
@@ -72,13 +69,12 @@
             store.saveSnapshot(StoredSnapshot(30, 1, byteArrayOf(1), byteArrayOf(2, 3)), firstKeptIndex = 26).unwrap()
             expectThat(before - segments().size).isEqualTo(12)
         }
-        open().use { store ->
-            expectThat(store.recovered.snapshot)
-                .isNotNull()
-                .get { index to state.toList() }
-                .isEqualTo(30L to listOf<Byte>(2, 3))
-            expectThat(store.recovered.entries.map(::describe)).isEqualTo(described(31..40, term = 1))
-        }
+        val recovered = recover()
+        expectThat(recovered.snapshot)
+            .isNotNull()
+            .get { index to state.toList() }
+            .isEqualTo(30L to listOf<Byte>(2, 3))
+        expectThat(recovered.entries.map(::describe)).isEqualTo(described(31..40, term = 1))
     }
 
     @Test
@@ -89,7 +85,7 @@
             store.installSnapshot(StoredSnapshot(5, 2, ByteArray(0), ByteArray(0))).unwrap()
             store.append(entries(6..7, term = 2)).unwrap()
         }
-        open().use { expectThat(it.recovered.entries.map(::describe)).isEqualTo(described(6..7, term = 2)) }
+        expectThat(recover().entries.map(::describe)).isEqualTo(described(6..7, term = 2))
     }
 
     @Test
@@ -97,11 +93,11 @@
         initialise()
         open().use { it.append(entries(1..9, term = 1)).unwrap() }
         val limited = FaultyDisk(openFileDisk(folder).unwrap(), refuse = { call -> call == "open log-2" })
-        openLogStore(limited, "test", node).unwrap().use { store ->
+        openLogStore(limited, "test", node).unwrap().store.use { store ->
             val installed = store.installSnapshot(StoredSnapshot(5, 2, ByteArray(0), ByteArray(0)))
             expectThat(installed.getError()).isNotNull().isA<StorageFailure.DiskFailed>()
         }
-        repeat(2) { open().use { store -> expectThat(store.recovered.entries).hasSize(0) } }
+        repeat(2) { expectThat(recover().entries).hasSize(0) }
     }
 
     @TestFactory
@@ -116,9 +112,9 @@
         (0 until lastBatchBytes step 5).map { kept ->
             dynamicTest("$kept of $lastBatchBytes bytes arrived") {
                 segments().single().writeBytes(whole.copyOf(whole.size - lastBatchBytes + kept))
-                open().use { expectThat(it.recovered.entries.map(::describe)).isEqualTo(described(1..3, term = 1)) }
+                expectThat(recover().entries.map(::describe)).isEqualTo(described(1..3, term = 1))
                 open().use { expectThat(it.append(entries(4..4, term = 2)).isOk).isEqualTo(true) }
-                open().use { expectThat(it.recovered.entries).hasSize(4) }
+                expectThat(recover().entries).hasSize(4)
             }
         }
     }
@@ -129,7 +125,7 @@
         open().use { it.append(entries(1..3, term = 1)).unwrap() }
         val segment = segments().single()
         segment.writeBytes(segment.readBytes() + ByteArray(1_500))
-        open().use { expectThat(it.recovered.entries).hasSize(3) }
+        expectThat(recover().entries).hasSize(3)
     }
 
     private class Damage(
@@ -217,7 +213,7 @@
                 initialise()
                 var failing = true
                 val disk = FaultyDisk(openFileDisk(folder).unwrap()) { failing && it == refused }
-                openLogStore(disk, "test", node).unwrap().use { store ->
+                openLogStore(disk, "test", node).unwrap().store.use { store ->
                     val first =
                         if (refused ==
                             "replace term"
@@ -237,11 +233,14 @@
     private fun initialise() = openFileDisk(folder).unwrap().use { initialiseFolder(it, identity).unwrap() }
 
     private fun open(segmentBytes: Int = 4_096) =
-        openLogStore(openFileDisk(folder).unwrap(), "test", node, segmentBytes).unwrap()
+        openLogStore(openFileDisk(folder).unwrap(), "test", node, segmentBytes).unwrap().store
+
+    private fun recover(): RecoveredState =
+        openLogStore(openFileDisk(folder).unwrap(), "test", node).unwrap().also { it.store.close() }.recovered
 
     private fun tryOpen(): Result<Unit, StorageFailure> = openFileDisk(folder).unwrap().use { disk ->
         val opened = openLogStore(disk, "test", node)
-        opened.get()?.let { Ok(it.close()) } ?: com.github.michaelbull.result
+        opened.get()?.let { Ok(it.store.close()) } ?: com.github.michaelbull.result
             .Err(opened.getError()!!)
     }
 
