--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/AdminClient.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/AdminClient.kt
@@ -13,6 +13,7 @@
 import io.carawaytrack.model.ChangeReply
 import io.carawaytrack.model.ChangeRequest
 import io.carawaytrack.model.Configuration
+import io.carawaytrack.model.Execution
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HistoryEntry
 import io.carawaytrack.model.HostPort
@@ -203,14 +204,16 @@
         return Try.Final(Ok(value))
     }
 
+    /** Takes a refusal as the last word only where it is certain that nothing was changed. */
     private fun refused(response: AdminResponse): Try<Nothing> {
         val failure =
             decode(response.body, Failure.serializer())
                 ?: return Try.AskAgain("answered ${response.status} without a failure that can be read")
-        return if (failure.kind.retryable) {
-            Try.AskAgain("${failure.kind}: ${failure.detail}")
-        } else {
+        val isFinal = !failure.kind.retryable && failure.execution == Execution.NotRun
+        return if (isFinal) {
             Try.Final(Err(CtlError.Refused(failure)))
+        } else {
+            Try.AskAgain("${failure.kind}: ${failure.detail}")
         }
     }
 
--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/HttpTransport.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/HttpTransport.kt
@@ -18,6 +18,7 @@
 import io.ktor.utils.io.readRemaining
 import kotlinx.io.readString
 import java.io.IOException
+import java.nio.channels.UnresolvedAddressException
 
 /** Longest answer that is read, in bytes. */
 private const val HIGHEST_BODY_BYTES = 64L * 1024 * 1024
@@ -35,6 +36,8 @@
         Ok(client.prepare(request).execute { it.toAdminResponse() })
     } catch (e: IOException) {
         Err(NoAnswer(e.message ?: e.toString()))
+    } catch (_: UnresolvedAddressException) {
+        Err(NoAnswer("the name has no address"))
     }
 }
 
--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/Main.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/Main.kt
@@ -25,7 +25,6 @@
     mixinStandardHelpOptions = true,
     version = ["carawayctl 0.1.0"],
     scope = ScopeType.INHERIT,
-    exitCodeListHeading = "Exit codes:%n",
     subcommands = [
         CheckCommand::class,
         ApplyCommand::class,
@@ -54,6 +53,7 @@
     registerConverter(ModelVersion::class.java) { text ->
         ModelVersion.parse(text) ?: throw TypeConversionException("expected MODEL@VERSION, got $text")
     }
+    commandSpec.usageMessage().exitCodeListHeading("Exit codes:%n")
     commandSpec.usageMessage().exitCodeList(ExitCode.entries.associate { " ${it.code}" to it.meaning })
 }
 
@@ -107,18 +107,17 @@
 /** Runs carawayctl and ends the process with its exit code. */
 public fun main(arguments: Array<String>) {
     (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as Logger).level = Level.OFF
-    val exit =
-        adminHttpClient().use { client ->
-            val surroundings =
-                Surroundings(
-                    transport = httpTransport(client),
-                    environment = System::getenv,
-                    readInput = { System.`in`.readBytes().decodeToString() },
-                    newOperationId = { UUID.randomUUID().toString() },
-                    printOut = { println(it) },
-                    printError = { System.err.println(it) },
-                )
-            runBlocking { runCarawayctl(arguments.toList(), surroundings) }
-        }
+    val client = lazy { adminHttpClient() }
+    val surroundings =
+        Surroundings(
+            transport = { request -> httpTransport(client.value)(request) },
+            environment = System::getenv,
+            readInput = { System.`in`.readBytes().decodeToString() },
+            newOperationId = { UUID.randomUUID().toString() },
+            printOut = { println(it) },
+            printError = { System.err.println(it) },
+        )
+    val exit = runBlocking { runCarawayctl(arguments.toList(), surroundings) }
+    if (client.isInitialized()) client.value.close()
     exitProcess(exit.code)
 }
--- a/ctl/src/test/kotlin/io/carawaytrack/ctl/CarawayctlTest.kt
+++ b/ctl/src/test/kotlin/io/carawaytrack/ctl/CarawayctlTest.kt
@@ -7,6 +7,7 @@
 import io.carawaytrack.model.ChangeRequest
 import io.carawaytrack.model.ConfigurationChange
 import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Execution
 import io.carawaytrack.model.HostPort
 import io.carawaytrack.model.IN_FORCE_BOUND_MILLIS
 import io.carawaytrack.model.ModelVersion
@@ -173,6 +174,7 @@
             "no answer within 2000 ms" to { awaitCancellation() },
             "connection refused" to { cut() },
             "NotLeader: this control host does not lead" to { refusal(ErrorKind.NotLeader) },
+            "Internal: an unexpected condition occurred" to { refusal(ErrorKind.Internal, Execution.MayHaveRun) },
             "answered 502 without a failure that can be read" to { Ok(AdminResponse(502, "<html>")) },
             "answered 200 with a body that is none" to { answer("{}") },
         ).map { (reason, answer) ->
--- a/ctl/src/test/kotlin/io/carawaytrack/ctl/FakeControl.kt
+++ b/ctl/src/test/kotlin/io/carawaytrack/ctl/FakeControl.kt
@@ -7,13 +7,13 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Execution
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HolderStatus
 import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.NodeRole
 import io.carawaytrack.model.StatusReport
 import io.carawaytrack.model.ZoneName
-import io.carawaytrack.model.notRun
 import java.nio.file.Path
 import kotlin.io.path.writeText
 
@@ -24,8 +24,11 @@
 
 internal fun answer(body: String): Result<AdminResponse, NoAnswer> = Ok(AdminResponse(200, body))
 
-internal fun refusal(kind: ErrorKind): Result<AdminResponse, NoAnswer> =
-    Ok(AdminResponse(kind.status, adminJson.encodeToString(Failure.serializer(), kind.notRun())))
+internal fun refusal(
+    kind: ErrorKind,
+    execution: Execution = Execution.NotRun,
+): Result<AdminResponse, NoAnswer> =
+    Ok(AdminResponse(kind.status, adminJson.encodeToString(Failure.serializer(), Failure(kind, execution))))
 
 internal fun cut(): Result<AdminResponse, NoAnswer> = Err(NoAnswer("connection refused"))
 
