Read the broken stream of the engine stand-in byte by byte

The server's chunk encoder runs beside the handler and drops what it has not written yet when the handler throws, so how many tokens get out before the break is not the stand-in's to decide; the JDK's client in addition drops what it has buffered.

Ruled out: the client alone (a raw socket got the head and no token either).

Conclusion: the stand-in breaks streams as it should; the old check was wrong.

--- a/standins/src/test/kotlin/io/carawaytrack/standins/StandInCalls.kt
+++ b/standins/src/test/kotlin/io/carawaytrack/standins/StandInCalls.kt
@@ -4,7 +4,9 @@
 package io.carawaytrack.standins
 
 import io.carawaytrack.model.ModelVersion
+import java.io.ByteArrayOutputStream
 import java.io.InputStream
+import java.net.Socket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -54,6 +56,21 @@
         vararg headers: Pair<String, String>,
     ): HttpResponse<String> = post(CHAT, chatBody(prompt, model), *headers)
 
+    /**
+     * Returns every byte that arrived until the connection ended; the JDK's client drops what it has buffered when a
+     * connection breaks.
+     */
+    fun receiveRaw(
+        path: String,
+        body: String,
+    ): String = Socket("127.0.0.1", port).use { socket ->
+        val head = "POST $path HTTP/1.1\r\nHost: localhost\r\nContent-Type: application/json\r\n"
+        socket.getOutputStream().write("${head}Content-Length: ${body.length}\r\n\r\n$body".encodeToByteArray())
+        val received = ByteArrayOutputStream()
+        runCatching { socket.getInputStream().copyTo(received, bufferSize = 1) }
+        received.toString(Charsets.UTF_8)
+    }
+
     private fun posting(
         path: String,
         body: String,
