--- a/consensus/src/test/kotlin/io/carawaytrack/consensus/HistoryTest.kt
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/HistoryTest.kt
@@ -1,7 +1,7 @@
 /*
  * Random histories under many faults at once: cuts, one-way cuts, loss, delay, duplicates, reordering, crashes with
- * torn writes, freezes and failed syncs. The group checks its invariants at every step; the reads and writes that
- * clients saw are checked here.
+ * torn writes, freezes, slow and fast clocks and failed syncs. The group checks its invariants at every step; the reads
+ * and writes that clients saw are checked here.
  */
 package io.carawaytrack.consensus
 
@@ -89,7 +89,7 @@
     private fun disturb(group: TestGroup) {
         val random = group.random
         val host = group.hosts.values.random(random)
-        when (random.nextInt(12)) {
+        when (random.nextInt(14)) {
             0 -> group.isolate(host)
             1 -> group.cut(host, group.hosts.values.random(random))
             2, 3, 4 -> group.heal()
@@ -102,6 +102,10 @@
                 group.lossPercent = random.nextInt(15)
                 group.duplicatePercent = random.nextInt(30)
             }
+            10 -> host.clockPercent = listOf(5, 50, 200).random(random)
+
+            11 -> group.hosts.values.forEach { it.frozen = false }
+
             else -> recover(group)
         }
     }
@@ -113,6 +117,7 @@
         group.duplicatePercent = 0
         group.hosts.values.forEach { host ->
             host.frozen = false
+            host.clockPercent = 100
             if (host.driver == null || host.disk.failSync) group.restart(host)
         }
     }
--- a/consensus/src/test/kotlin/io/carawaytrack/consensus/TestGroup.kt
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/TestGroup.kt
@@ -74,6 +74,15 @@
     lateinit var machine: ListMachine
     val inbox = ArrayList<Request>()
     var frozen = false
+
+    /** Speed of the host's own clock; one that crawls believes in its leadership for long. */
+    var clockPercent = 100
+    private var clockHundredths = 0L
+    val clockMillis: Long get() = clockHundredths / 100
+
+    fun advanceClock() {
+        clockHundredths += clockPercent
+    }
 }
 
 internal class TestGroup(
@@ -125,11 +134,11 @@
         val opened = openLogStore(host.disk, "test", host.node, segmentBytes = 1_024).unwrap()
         host.machine = ListMachine { index, command -> recordApplied(index, command) }
         val group = ReplicaGroup("test", host.node, host.initialMembers)
-        val core = RaftCore(group, settings, opened.recovered, Random(random.nextInt()), nowMillis)
+        val core = RaftCore(group, settings, opened.recovered, Random(random.nextInt()), host.clockMillis)
         val codec = MessageCodec("test", opened.recovered.identity.incarnation)
         val send = { to: NodeId, payload: ByteArray -> transmit(host.node, to, payload) }
         host.core = core
-        host.driver = ReplicaDriver(core, opened.store, host.machine, codec, send, { nowMillis }, onHalt = {})
+        host.driver = ReplicaDriver(core, opened.store, host.machine, codec, send, { host.clockMillis }, onHalt = {})
     }
 
     fun crash(host: Host) {
@@ -234,6 +243,7 @@
 
     private fun runOneMillisecond() {
         nowMillis++
+        hosts.values.forEach(Host::advanceClock)
         while (network.isNotEmpty() && network.peek().atMillis <= nowMillis) deliver(network.poll())
         hosts.values.filter { !it.frozen }.forEach(::turn)
         check()
