Take the operator's name from control and an organisation for bills

Cause: control names the operator by the token and refuses a call for bills without an organisation, so `--operator` had no effect and `bills` alone could only be refused.

Ruled out: a call for each organisation (control would add them up more cheaply, if it is ever asked to).

Change: `--operator` is gone, `bills` requires `--organisation`.

Conclusion: the command line asks only for what control answers.

--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/AdminClient.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/AdminClient.kt
@@ -88,8 +88,8 @@
     /** Fetches what is in force where. */
     suspend fun status(): Result<StatusReport, CtlError>
 
-    /** Fetches the bills of [organisation], or of all. */
-    suspend fun bills(organisation: OrganisationName?): Result<List<Bill>, CtlError>
+    /** Fetches the bills of [organisation]. */
+    suspend fun bills(organisation: OrganisationName): Result<List<Bill>, CtlError>
 }
 
 /** Creates a client that sends by [send]. */
@@ -131,10 +131,8 @@
 
     override suspend fun status() = get("/v1/status", StatusReport.serializer())
 
-    override suspend fun bills(organisation: OrganisationName?): Result<List<Bill>, CtlError> {
-        val query = organisation?.let { "?organisation=${it.value.encodeURLParameter()}" }.orEmpty()
-        return get("/v1/bills$query", ListSerializer(Bill.serializer()))
-    }
+    override suspend fun bills(organisation: OrganisationName) =
+        get("/v1/bills?organisation=${organisation.value.encodeURLParameter()}", ListSerializer(Bill.serializer()))
 
     private fun CtlError.Unreachable.withResendHint(operationId: String) = CtlError.Unreachable(
         "$message; the change may have been accepted: send it again with --operation-id $operationId",
--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/ChangeCommands.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/ChangeCommands.kt
@@ -50,9 +50,6 @@
     )
     var operationId: String? = null
 
-    @Option(names = ["--operator"], paramLabel = "NAME", description = ["Your name in the history (default: USER)."])
-    var operator: String? = null
-
     @Option(
         names = ["--wait"],
         description = [
@@ -99,7 +96,6 @@
         ChangeRequest(
             operationId = options.operationId ?: session.surroundings.newOperationId(),
             baseNumber = options.base,
-            operator = options.operator ?: session.surroundings.environment("USER").orEmpty(),
             change = change,
         )
     }
--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/Commands.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/Commands.kt
@@ -94,14 +94,14 @@
         session.client().andThen { it.history(from) }.map { Report<List<HistoryEntry>>(it, historyText(it)) }
 }
 
-@Command(name = "bills", description = ["Lists what organisations are charged, one row a request."])
+@Command(name = "bills", description = ["Lists what an organisation is charged, one row a request."])
 internal class BillsCommand : Action {
-    @Option(names = ["--organisation"], paramLabel = "NAME", description = ["Lists this organisation's bills only."])
-    var organisation: String? = null
+    @Option(names = ["--organisation"], required = true, paramLabel = "NAME", description = ["Whose bills to list."])
+    lateinit var organisation: String
 
     override suspend fun run(session: Session): Result<Report, CtlError> = session
         .client()
-        .andThen { it.bills(organisation?.let(::OrganisationName)) }
+        .andThen { it.bills(OrganisationName(organisation)) }
         .map { Report<List<Bill>>(it, billsText(it)) }
 }
 
