Judge roll-outs by a sequential test, and plan round full versions

Cause: a fixed window exposes requests to a bad version for its whole length; the plan did not see that a version's upstreams were full.

--- a/replay/src/main/kotlin/io/carawaytrack/replay/AgentModel.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/AgentModel.kt
@@ -1,6 +1,6 @@
 /*
- * A small stand-in for the agent beside an upstream: it admits up to its permits, lets them rise with each answer after
- * a start, and reports its load.
+ * A small stand-in for the agent beside an upstream: it admits up to its permits, lets them rise with each answer
+ * that came at a warm engine's speed after a start, and reports its load.
  */
 package io.carawaytrack.replay
 
@@ -61,9 +61,12 @@
         }
         running++
         queuedTokens += request.tokens
-        engine.submit(
-            EngineStream(request.promptTokens, request.answerTokens, onFirstToken) { ended(request, it, onEnd) },
-        )
+        val startedAtMillis = events.nowMillis
+        val stream =
+            EngineStream(request.promptTokens, request.answerTokens, onFirstToken) { complete ->
+                ended(request, startedAtMillis, complete, onEnd)
+            }
+        engine.submit(stream)
         return true
     }
 
@@ -74,8 +77,19 @@
         engine.restart()
     }
 
+    /** Tells whether the answer came at the speed that a warm engine keeps with all permits in use. */
+    private fun wasWarm(
+        request: TraceRequest,
+        startedAtMillis: Double,
+    ): Boolean {
+        val work = request.answerTokens + request.promptTokens * spec.engine.prefillWeight + 1
+        val warmMillis = work * permits / engine.throughput(permits) * MILLIS_PER_SECOND
+        return events.nowMillis - startedAtMillis <= warmMillis * WARM_TOLERANCE
+    }
+
     private fun ended(
         request: TraceRequest,
+        startedAtMillis: Double,
         complete: Boolean,
         onEnd: (Boolean) -> Unit,
     ) {
@@ -85,7 +99,7 @@
             onEnd(false)
             return
         }
-        if (permits < spec.permits) permits++
+        if (permits < spec.permits && wasWarm(request, startedAtMillis)) permits++
         val heldMillis = request.readMillis - request.answerTokens / spec.engine.tokensPerSecond * MILLIS_PER_SECOND
         events.after(heldMillis) {
             release(request)
@@ -100,5 +114,6 @@
 
     private companion object {
         const val STARTING_PERMITS = 1
+        const val WARM_TOLERANCE = 1.3
     }
 }
--- a/replay/src/main/kotlin/io/carawaytrack/replay/Deployments.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/Deployments.kt
@@ -106,7 +106,7 @@
                 quillNext to TrueQuality(best = 0.98, slope = 0.12),
                 paymentService to TrueQuality(best = 1.0, slope = 0.0),
             ),
-        peakPerSecond = 5.0,
+        peakPerSecond = 9.0,
         oneWayMillis = 1.0,
         zoneToLose = zones[1],
         rolloutFrom = quill,
--- a/replay/src/main/kotlin/io/carawaytrack/replay/EntryModel.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/EntryModel.kt
@@ -34,26 +34,39 @@
 
     fun submit(request: TraceRequest) {
         val pinned = request.session?.let { world.sessions[it] }
-        val planRequest =
-            PlanRequest(
-                organisation = world.spec.organisations.first { it.name.value == request.organisation },
-                route = world.spec.routeNamed(request.route),
-                pinned = pinned,
-                estimatedTokens = request.tokens,
-                startsSession = request.session != null && pinned == null,
-            )
-        planner.plan(configuration, planRequest).fold(
-            { begin(request, it) },
+        planner.plan(configuration, planRequest(request, pinned, full = emptySet())).fold(
+            { begin(request, it, pinned) },
             { refuse(request, it) },
         )
     }
 
+    private fun planRequest(
+        request: TraceRequest,
+        pinned: ModelVersion?,
+        full: Set<ModelVersion>,
+    ): PlanRequest = PlanRequest(
+        organisation = world.spec.organisations.first { it.name.value == request.organisation },
+        route = world.spec.routeNamed(request.route),
+        pinned = pinned,
+        estimatedTokens = request.tokens,
+        startsSession = request.session != null && pinned == null,
+        full = full,
+    )
+
     private fun begin(
         request: TraceRequest,
         plan: Plan,
+        pinned: ModelVersion?,
     ) {
-        request.session?.let { world.sessions.putIfAbsent(it, plan.steps.last().version) }
-        Flight(request, plan).queue()
+        if (pinned == null) pin(request, plan)
+        Flight(request, plan, isPinned = pinned != null).queue()
+    }
+
+    private fun pin(
+        request: TraceRequest,
+        plan: Plan,
+    ) {
+        request.session?.let { world.sessions[it] = plan.steps.last().version }
     }
 
     /** Ends the request, or begins its session anew when the version that it was pinned to is withdrawn. */
@@ -65,7 +78,7 @@
             world.sessions.remove(request.session)
             submit(request)
         } else {
-            Flight(request, Plan(emptyList())).end(Ending.Refused)
+            Flight(request, Plan(emptyList()), isPinned = true).end(Ending.Refused)
         }
     }
 
@@ -88,7 +101,7 @@
     /** Sends the first that waits, or ends it when it has waited too long; returns whether either was possible. */
     private fun sendFirst(queue: WaitingQueue): Boolean {
         val next = queue.flights.removeFirst()
-        if (next.trySend()) return true
+        if (next.trySend() || next.replan()) return true
         if (next.hasExpired()) {
             next.end(Ending.Refused)
             return true
@@ -116,8 +129,10 @@
 
     private inner class Flight(
         private val request: TraceRequest,
-        private val plan: Plan,
+        private var plan: Plan,
+        private val isPinned: Boolean,
     ) {
+        private var replanned = false
         private val startedAtMillis = events.nowMillis
         private val ran = mutableListOf<ModelVersion>()
         private val excluded = HashSet<UpstreamId>()
@@ -136,6 +151,20 @@
             drain(version)
         }
 
+        /** Looks for a plan without the version that has no room, once, and queues for it; returns whether it did. */
+        fun replan(): Boolean {
+            val isFree = !isPinned && !replanned && step == 0
+            if (!isFree || events.nowMillis - queuedAtMillis < REPLAN_MILLIS) return false
+            replanned = true
+            val wanted = planRequest(request, pinned = null, full = setOf(version))
+            val other = planner.plan(configuration, wanted).fold({ it }, { plan })
+            if (other.steps.first().version == version) return false
+            plan = other
+            pin(request, other)
+            queue()
+            return true
+        }
+
         fun hasExpired(): Boolean = events.nowMillis - queuedAtMillis >= QUEUE_LIMIT_MILLIS
 
         fun trySend(): Boolean {
@@ -266,6 +295,7 @@
     private companion object {
         const val QUEUE_LIMIT_MILLIS = 10_000.0
         const val POLL_MILLIS = 20.0
+        const val REPLAN_MILLIS = 500.0
         const val RATING_MILLIS = 150.0
         const val REPEATS = 2
     }
--- a/replay/src/main/kotlin/io/carawaytrack/replay/Policies.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/Policies.kt
@@ -28,6 +28,7 @@
     val name: String,
     val planner: (Random) -> Planner,
     val chooser: (ZoneName, () -> Long, Random) -> UpstreamChooser,
+    val rolloutRule: RolloutRule = sequentialRule,
 )
 
 private val currentPlanner = { random: Random -> Planner(random) }
@@ -50,33 +51,39 @@
 internal val policies: List<Policy> =
     listOf(
         currentPolicy,
-        Policy("thin", { Planner(it, thinSettings) }, currentChooser),
-        Policy("strongest", { withTarget(Planner(it, thinSettings), UNREACHABLE_TARGET) }, currentChooser),
-        Policy("cheapest", { withTarget(Planner(it, thinSettings), target = 0.0) }, currentChooser),
-        Policy("round-robin", currentPlanner) { _, _, _ ->
-            ReportedLoadChooser { candidates, turn ->
-                candidates[
-                    turn %
-                        candidates.size,
-                ]
-            }
-        },
-        Policy("least-outstanding", currentPlanner) { _, _, _ ->
-            ReportedLoadChooser { candidates, _ -> candidates.minBy { it.load.queuedTokens } }
-        },
+        Policy("fixed-window", currentPlanner, currentChooser, fixedWindowRule),
+        Policy("thin", { thinPlanner(it) }, currentChooser),
+        Policy("strongest", { thinPlanner(it, UNREACHABLE_TARGET) }, currentChooser),
+        Policy("cheapest", { thinPlanner(it, target = 0.0) }, currentChooser),
+        Policy(
+            name = "round-robin",
+            planner = currentPlanner,
+            chooser = { _, _, _ -> ReportedLoadChooser { candidates, turn -> candidates[turn % candidates.size] } },
+        ),
+        Policy(
+            name = "least-outstanding",
+            planner = currentPlanner,
+            chooser = { _, _, _ -> ReportedLoadChooser { candidates, _ -> candidates.minBy { it.load.queuedTokens } } },
+        ),
     )
 
 private const val UNREACHABLE_TARGET = 2.0
 
-private fun withTarget(
-    planner: Planner,
-    target: Double,
-): Planner = object : Planner by planner {
-    override fun plan(
-        configuration: Configuration,
-        request: PlanRequest,
-    ): Result<Plan, Failure> =
-        planner.plan(configuration, request.copy(route = request.route.copy(qualityTarget = target)))
+/** Creates a planner that learns nothing, sees no full version and aims at [target], or the route's when it is null. */
+private fun thinPlanner(
+    random: Random,
+    target: Double? = null,
+): Planner {
+    val planner = Planner(random, thinSettings)
+    return object : Planner by planner {
+        override fun plan(
+            configuration: Configuration,
+            request: PlanRequest,
+        ): Result<Plan, Failure> {
+            val route = request.route.copy(qualityTarget = target ?: request.route.qualityTarget)
+            return planner.plan(configuration, request.copy(route = route, full = emptySet()))
+        }
+    }
 }
 
 /** Chooses by what agents have reported and nothing else; [pick] gets the candidates and the number of the turn. */
--- /dev/null
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/RolloutDriver.kt
@@ -0,0 +1,118 @@
+/*
+ * Moves a roll-out through its stages by a rule, as control hosts would: it adds up what all entries saw, asks the rule
+ * once a second and changes the configuration.
+ */
+package io.carawaytrack.replay
+
+import io.carawaytrack.model.Configuration
+import io.carawaytrack.model.ModelVersion
+import io.carawaytrack.model.Rollout
+import io.carawaytrack.model.RolloutPhase
+import io.carawaytrack.model.VersionState
+import io.carawaytrack.routing.Observation
+import io.carawaytrack.routing.RolloutEvidence
+import io.carawaytrack.routing.RolloutJudge
+import io.carawaytrack.routing.RolloutVerdict
+import io.carawaytrack.routing.VersionTally
+
+/** Decides on a roll-out from the evidence of its stage and the age of the stage in milliseconds. */
+internal typealias RolloutRule = (RolloutEvidence, Double) -> RolloutVerdict
+
+/** Judges after every second by the sequential test. */
+internal val sequentialRule: RolloutRule = RolloutJudge().let { judge -> { evidence, _ -> judge.judge(evidence) } }
+
+/** Judges once, five minutes after a stage began, by the means. */
+internal val fixedWindowRule: RolloutRule = { evidence, ageMillis ->
+    when {
+        ageMillis < FIXED_WINDOW_MILLIS -> RolloutVerdict.Continue
+        meanRating(evidence.to) < meanRating(evidence.from) - FIXED_WINDOW_LOSS -> RolloutVerdict.RollBack
+        else -> RolloutVerdict.Advance
+    }
+}
+
+internal class RolloutDriver(
+    private val world: World,
+    private val control: ControlModel,
+    private val rule: RolloutRule,
+) {
+    private val events = world.events
+    private var evidence = RolloutEvidence()
+    private var rollout: Rollout? = null
+    private var stagePercent = 0
+    private var stageAtMillis = 0.0
+
+    fun start(
+        percent: Int,
+        untilMillis: Double,
+    ) {
+        val pool =
+            world.spec.pools
+                .first { pool -> pool.members.any { it.version == world.spec.rolloutTo } }
+        val first =
+            Rollout("next", pool.name, world.spec.rolloutFrom, world.spec.rolloutTo, percent, RolloutPhase.Running)
+        enter(first)
+        events.every(JUDGE_MILLIS, untilMillis) { judge() }
+    }
+
+    fun observe(
+        version: ModelVersion,
+        observation: Observation,
+    ) {
+        val running = rollout ?: return
+        when (version) {
+            running.from -> evidence = evidence.copy(from = evidence.from.plus(observation, SLOW_MILLIS_PER_TOKEN))
+            running.to -> evidence = evidence.copy(to = evidence.to.plus(observation, SLOW_MILLIS_PER_TOKEN))
+        }
+    }
+
+    private fun judge() {
+        val current = rollout ?: return
+        if (current.phase == RolloutPhase.RolledBack || current.phase == RolloutPhase.Completed) return
+        when (rule(evidence, events.nowMillis - stageAtMillis)) {
+            RolloutVerdict.Continue -> setPercent(current, stagePercent)
+            RolloutVerdict.Hold -> setPercent(current, percent = 0)
+            RolloutVerdict.Advance -> advance(current)
+            RolloutVerdict.RollBack -> rollBack(current)
+        }
+    }
+
+    private fun advance(current: Rollout) {
+        val next = STAGES.firstOrNull { it > stagePercent }
+        if (next == null) set(current.copy(phase = RolloutPhase.Completed)) else enter(current.copy(percent = next))
+    }
+
+    private fun rollBack(current: Rollout) {
+        set(current.copy(phase = RolloutPhase.RolledBack))
+        control.change { it.copy(versionStates = it.versionStates + (current.to.toString() to VersionState.Withdrawn)) }
+    }
+
+    private fun enter(stage: Rollout) {
+        evidence = RolloutEvidence()
+        stagePercent = stage.percent
+        stageAtMillis = events.nowMillis
+        set(stage)
+    }
+
+    private fun setPercent(
+        current: Rollout,
+        percent: Int,
+    ) {
+        if (current.percent != percent) set(current.copy(percent = percent))
+    }
+
+    private fun set(changed: Rollout) {
+        rollout = changed
+        control.change { configuration: Configuration -> configuration.copy(rollouts = listOf(changed)) }
+    }
+
+    private companion object {
+        const val JUDGE_MILLIS = 1_000.0
+        const val SLOW_MILLIS_PER_TOKEN = 80.0
+        val STAGES = listOf(1, 10, 50)
+    }
+}
+
+private fun meanRating(tally: VersionTally): Double = if (tally.ratings == 0L) 1.0 else tally.ratingSum / tally.ratings
+
+private const val FIXED_WINDOW_MILLIS = 300_000.0
+private const val FIXED_WINDOW_LOSS = 0.05
--- a/replay/src/main/kotlin/io/carawaytrack/replay/Simulation.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/Simulation.kt
@@ -46,10 +46,11 @@
                 planner = policy.planner(Random(random.nextLong())),
                 chooser = policy.chooser(zone, { events.nowMillis.toLong() }, Random(random.nextLong())),
                 world = world,
-                onObservation = { _, _ -> },
+                onObservation = { version, observation -> rollouts.observe(version, observation) },
             )
         }
     private val control = ControlModel(world, entries, Random(random.nextLong()))
+    private val rollouts: RolloutDriver = RolloutDriver(world, control, policy.rolloutRule)
     private val balancer = Random(random.nextLong())
 
     fun run(): RunResult {
@@ -82,10 +83,17 @@
         when (trace.header.scenario) {
             Scenario.ZoneOut -> scheduleZoneMove()
             Scenario.ColdStart -> scheduleRestarts()
+            Scenario.BadAtTen -> scheduleBadRollout(percent = 10)
+            Scenario.BadAtFifty -> scheduleBadRollout(percent = 50)
             else -> Unit
         }
     }
 
+    private fun scheduleBadRollout(percent: Int) {
+        measuredAt(0) { rollouts.start(percent, trace.header.endMillis.toDouble()) }
+        measuredAt(BAD_MILLIS) { world.bad += spec.rolloutTo }
+    }
+
     private fun scheduleZoneMove() {
         val zone = spec.zoneToLose
         measuredAt(OUT_MILLIS) { control.change { it.copy(zonesOut = it.zonesOut + zone) } }
@@ -117,6 +125,7 @@
 
     private companion object {
         const val DRAIN_MILLIS = 120_000.0
+        const val BAD_MILLIS = 30_000L
         const val OUT_MILLIS = 120_000L
         const val BACK_MILLIS = 300_000L
         const val RESTARTED = 3
--- a/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
@@ -22,6 +22,7 @@
  * @property pinned version of the request's session, when it has one
  * @property estimatedTokens prompt and expected answer together
  * @property startsSession whether later requests will be pinned to the version that answers this one
+ * @property full versions whose upstreams have no room; they are planned only when nothing else is allowed
  */
 public data class PlanRequest(
     val organisation: Organisation,
@@ -29,6 +30,7 @@
     val pinned: ModelVersion? = null,
     val estimatedTokens: Long = 0,
     val startsSession: Boolean = false,
+    val full: Set<ModelVersion> = emptySet(),
 )
 
 /**
--- a/routing/src/main/kotlin/io/carawaytrack/routing/PoolMembers.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/PoolMembers.kt
@@ -74,7 +74,8 @@
     if (allowed.isEmpty()) return Err(notAllowed(request))
     val serving = allowed.filter { configuration.stateOf(it.version) == VersionState.Serving }
     if (serving.isEmpty()) return Err(noneServing(request, allowed))
-    return Ok(applyRollouts(configuration.rollouts.filter { it.pool == request.route.pool }, serving))
+    val rollouts = configuration.rollouts.filter { it.pool == request.route.pool }
+    return Ok(applyRollouts(rollouts, serving, request.full))
 }
 
 /** Draws one of [members] in proportion to their weights. */
@@ -109,19 +110,19 @@
 private fun applyRollouts(
     rollouts: List<Rollout>,
     serving: List<PoolMember>,
+    full: Set<ModelVersion>,
 ): EligibleMembers {
     val versions = serving.map { it.version }.toSet()
     val replacements = LinkedHashMap<ModelVersion, Replacement>()
     for (rollout in rollouts) {
-        if (rollout.to in versions &&
-            rollout.from in versions
-        ) {
+        if (rollout.to in versions && rollout.from in versions) {
             replacements[rollout.from] = Replacement(rollout.to, shareOf(rollout))
         }
     }
     val held = replacements.values.map { it.version }.toSet()
-    val direct = serving.filter { it.version !in held }
-    return EligibleMembers(direct.ifEmpty { serving }, replacements)
+    val direct = serving.filter { it.version !in held }.ifEmpty { serving }
+    val roomy = direct.filter { it.version !in full }
+    return EligibleMembers(roomy.ifEmpty { direct }, replacements.filterValues { it.version !in full })
 }
 
 private fun shareOf(rollout: Rollout): Int = when (rollout.phase) {
--- /dev/null
+++ b/routing/src/test/kotlin/io/carawaytrack/routing/RolloutJudgeTest.kt
@@ -0,0 +1,80 @@
+/*
+ * What a judge makes of the sums of a stage, as tables of cases, and how often it errs on equal versions.
+ */
+package io.carawaytrack.routing
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.random.Random
+
+class RolloutJudgeTest {
+    private data class Case(
+        val name: String,
+        val to: VersionTally,
+        val expected: RolloutVerdict,
+    )
+
+    private val old = tally(exposed = 1_000, rating = 0.85, ratings = 400, failed = 5, slow = 20)
+
+    private val cases =
+        listOf(
+            Case("continues before anything was seen", VersionTally(), RolloutVerdict.Continue),
+            Case("continues on a few ratings that look alike", tally(30, 0.85, 10), RolloutVerdict.Continue),
+            Case("advances when a loss is ruled out", tally(900, 0.86, 400), RolloutVerdict.Advance),
+            Case("rolls back on a few very bad ratings", tally(40, 0.45, 12), RolloutVerdict.RollBack),
+            Case("rolls back when most requests fail", tally(8, 0.85, 0, failed = 7), RolloutVerdict.RollBack),
+            Case("rolls back when most answers are slow", tally(60, 0.85, 20, slow = 50), RolloutVerdict.RollBack),
+            Case("holds when ratings fail to come in", tally(150, 0.85, 3), RolloutVerdict.Hold),
+            Case("holds when a stage has used up its requests", tally(2_000, 0.85, 40), RolloutVerdict.Hold),
+            Case("does not advance on ratings alone", tally(300, 0.86, 400, failed = 9), RolloutVerdict.Continue),
+        )
+
+    @TestFactory
+    fun `judge`(): List<DynamicTest> = cases.map { case ->
+        dynamicTest(case.name) {
+            expectThat(RolloutJudge().judge(RolloutEvidence(old, case.to))).isEqualTo(case.expected)
+        }
+    }
+
+    @Test
+    fun `judge rolls back an equal version in at most one of a hundred stages though asked after every rating`() {
+        val rolledBack = (1..400).count { seed -> RolloutVerdict.RollBack in verdictsOnEqualVersions(Random(seed)) }
+        expectThat(rolledBack).isLessThanOrEqualTo(4)
+    }
+
+    @Test
+    fun `tallies of two entries add up to the tally of one that saw all`() {
+        val seen =
+            listOf(Observation.Rated(0.5), Observation.Completed(900, 10), Observation.Failed, Observation.Rated(1.0))
+        val whole = seen.fold(VersionTally()) { sum, observation -> sum.plus(observation, slowMillisPerToken = 50.0) }
+        val halves = seen.chunked(2).map { half -> half.fold(VersionTally()) { sum, one -> sum.plus(one, 50.0) } }
+        expectThat(halves[0] + halves[1]).isEqualTo(whole)
+        expectThat(whole.slow).isEqualTo(1)
+    }
+
+    private fun verdictsOnEqualVersions(random: Random): List<RolloutVerdict> {
+        var evidence = RolloutEvidence()
+        return List(500) {
+            val from = Observation.Rated(0.6 + 0.4 * random.nextDouble())
+            val to = Observation.Rated(0.6 + 0.4 * random.nextDouble())
+            evidence = RolloutEvidence(evidence.from.plus(from, 50.0), evidence.to.plus(to, 50.0))
+            RolloutJudge().judge(evidence)
+        }
+    }
+
+    private fun tally(
+        exposed: Long,
+        rating: Double,
+        ratings: Long,
+        failed: Long = 0,
+        slow: Long = 0,
+    ): VersionTally {
+        val squares = ratings * (rating * rating + 0.02)
+        return VersionTally(exposed, exposed - failed, failed, slow, ratings, ratings * rating, squares)
+    }
+}
