--- /dev/null
+++ b/limits/src/test/kotlin/io/carawaytrack/limits/FairShareRunTest.kt
@@ -0,0 +1,106 @@
+/*
+ * The wait of small organisations while a large one floods the queue, in simulated time, against a queue that knows no
+ * organisations and against the same run without the flood.
+ */
+package io.carawaytrack.limits
+
+import io.carawaytrack.model.OrganisationName
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import kotlin.math.ln
+import kotlin.random.Random
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class FairShareRunTest {
+    private data class Figures(
+        val requests: Int,
+        val refused: Int,
+        val p50Millis: Long,
+        val p99Millis: Long,
+    )
+
+    private class Run(
+        private val seed: Long,
+        private val knowsOrganisations: Boolean,
+        private val floodsPerSecond: Double,
+    ) {
+        private val smallMillis = mutableListOf<Long>()
+        private var smallRefused = 0
+
+        fun figures(): Figures {
+            runTest { callers() }
+            val sorted = smallMillis.sorted()
+            val requests = sorted.size + smallRefused
+            return Figures(requests, smallRefused, sorted[sorted.size / 2], sorted[sorted.size * 99 / 100])
+        }
+
+        private fun TestScope.callers() {
+            val queue = AdmissionQueue(AdmissionSettings(maxWaiting = 64), { currentTime }) { PERMITS }
+            SMALL.forEachIndexed { index, name -> callsOf(queue, name, SMALL_PER_SECOND, Random(seed * 10 + index)) }
+            if (floodsPerSecond > 0) callsOf(queue, "large", floodsPerSecond, Random(seed * 10 + SMALL.size))
+        }
+
+        private fun TestScope.callsOf(
+            queue: AdmissionQueue,
+            name: String,
+            perSecond: Double,
+            random: Random,
+        ) = launch {
+            while (currentTime < END_MILLIS) {
+                delay((-ln(1 - random.nextDouble()) * 1_000 / perSecond).toLong())
+                val holdMillis = random.nextLong(250, 751)
+                launch { call(queue, name, holdMillis) }
+            }
+        }
+
+        private suspend fun TestScope.call(
+            queue: AdmissionQueue,
+            name: String,
+            holdMillis: Long,
+        ) {
+            val began = currentTime
+            val organisation = OrganisationName(if (knowsOrganisations) name else "all")
+            val ticket = queue.acquire(AdmissionRequest(organisation)).component1()
+            if (ticket == null && name in SMALL) smallRefused += 1
+            ticket?.use { delay(holdMillis) }
+            if (ticket != null && name in SMALL) smallMillis += currentTime - began
+        }
+    }
+
+    private fun figures(
+        name: String,
+        seed: Long,
+        knowsOrganisations: Boolean,
+        floodsPerSecond: Double,
+    ) = Run(seed, knowsOrganisations, floodsPerSecond).figures().also { println("queue=$name seed=$seed small $it") }
+
+    @TestFactory
+    fun `a flood refuses no small organisation and hardly slows it`(): List<DynamicTest> =
+        listOf(1L, 2L, 3L).map { seed ->
+            dynamicTest("seed $seed") {
+                figures("fair-quiet", seed, knowsOrganisations = true, floodsPerSecond = 0.0)
+                val plain = figures("plain-flood", seed, knowsOrganisations = false, FLOODS_PER_SECOND)
+                val fair = figures("fair-flood", seed, knowsOrganisations = true, FLOODS_PER_SECOND)
+                expectThat(fair.refused).isEqualTo(0)
+                expectThat(fair.p99Millis).isLessThan(plain.p50Millis)
+            }
+        }
+
+    private companion object {
+        const val PERMITS = 8
+        const val END_MILLIS = 120_000L
+        const val SMALL_PER_SECOND = 1.0
+        const val FLOODS_PER_SECOND = 40.0
+        val SMALL = listOf("small-1", "small-2", "small-3")
+    }
+}
