Guard the upstream: fair queue, slow start, quarantine, and a drain that flushes

Cause: the agent admitted by a fixed count, knew nothing of a cold upstream, and would have run a crashing request again and again; on a planned stop the last frames of an answer could be lost with the link.

Ruled out: refusing at once when full (no fairness between organisations); counting every broken connection as a death (a broken connection of a living upstream would quarantine the innocent, so the upstream is probed first).

Change: module limits is wired into the agent (admission queue, slow start by evidence, quarantine shared through the control hosts); the gate is asked again after the queue; links are drained before a process exits.

--- /dev/null
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/Agent.kt
@@ -0,0 +1,147 @@
+/*
+ * One agent: its parts, joined, from the start to the graceful shutdown.
+ */
+package io.carawaytrack.agent
+
+import io.carawaytrack.limits.AdmissionQueue
+import io.carawaytrack.limits.AdmissionSettings
+import io.carawaytrack.limits.Quarantine
+import io.carawaytrack.limits.QuarantineSettings
+import io.carawaytrack.limits.SlowStart
+import io.carawaytrack.limits.SlowStartSettings
+import io.carawaytrack.membership.ControlClient
+import io.carawaytrack.membership.ControlClientPorts
+import io.carawaytrack.model.Announcement
+import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.ServiceKind
+import io.carawaytrack.model.UpstreamLoad
+import io.carawaytrack.process.monotonicMillis
+import io.carawaytrack.process.openTelemetry
+import io.carawaytrack.telemetry.AgentMetrics
+import io.carawaytrack.telemetry.ObservabilityServer
+import io.carawaytrack.telemetry.watchLease
+import io.carawaytrack.wire.LinkHub
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.withTimeoutOrNull
+
+private val logger = KotlinLogging.logger {}
+
+/** Latency of a plain service differs by what is asked, so that it tells nothing about warmth. */
+private const val NO_RELAPSE_BY_LATENCY = 1e9
+
+internal class Agent(
+    private val settings: AgentSettings,
+) {
+    private val process = settings.process
+    private val telemetry = process.openTelemetry(NodeRole.Agent)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val hub = LinkHub(process.identity(NodeRole.Agent), process.sharedSecret(), ::monotonicMillis)
+    private val upstream = UpstreamClient(settings.upstreamAddress)
+    private val incarnation = System.currentTimeMillis()
+    private val quarantine = Quarantine(process.node, QuarantineSettings(), ::monotonicMillis)
+    private val control: ControlClient =
+        ControlClient(
+            settings.control,
+            ControlClientPorts(
+                connect = hub::connect,
+                nowMillis = ::monotonicMillis,
+                announcement = ::announcement,
+                suspects = quarantine::report,
+                onSuspects = quarantine::merge,
+            ),
+        )
+    private val gate =
+        Gate(settings.upstream, process.zone, settings.versions, control.lease, control::configuration)
+    private val metrics = AgentMetrics(telemetry.registry, ::load)
+    private val admission = AdmissionQueue(AdmissionSettings(), ::monotonicMillis, ::permits)
+    private val condition: UpstreamCondition =
+        UpstreamCondition(
+            upstream = settings.upstream,
+            scope = scope,
+            slowStart = SlowStart(slowStartSettings(), ::monotonicMillis),
+            quarantine = quarantine,
+            metrics = metrics,
+            probe = upstream::probe,
+            onPermits = admission::permitsChanged,
+        )
+    private val settlement = Settlement(scope, control, settings.settleMillis, System::currentTimeMillis)
+    private val entries: EntryService = EntryService(scope, entryServicePorts())
+
+    @Volatile
+    private var port = settings.linkAddress.port
+
+    suspend fun run(awaitStop: suspend () -> Unit) {
+        port = hub.listen(settings.linkAddress, entries::serve)
+        watchLease(telemetry.registry, control.lease::remainingMillis)
+        control.start()
+        val ready = { control.lease.held && !gate.leaving }
+        ObservabilityServer(process.observability, telemetry.registry, ready).use {
+            logger.info { "agent of ${settings.upstream} listens on ${settings.linkAddress.host}:$port" }
+            awaitStop()
+            leave()
+        }
+        close()
+    }
+
+    private fun entryServicePorts(): EntryServicePorts = EntryServicePorts(
+        gate = gate,
+        condition = condition,
+        admission = admission,
+        configuration = control::configuration,
+        runUpstream = upstream::run,
+        metrics = metrics,
+        nowMillis = ::monotonicMillis,
+    ) { outcome, runner ->
+        if (outcome.failure == null) settlement.expect(outcome, runner.settled)
+    }
+
+    private fun slowStartSettings(): SlowStartSettings {
+        val byWarmth =
+            SlowStartSettings(
+                startPermits = minOf(settings.coldPermits, settings.maxPermits),
+                maxPermits = settings.maxPermits,
+            )
+        if (settings.kind == ServiceKind.Model) return byWarmth
+        return byWarmth.copy(goodFactor = NO_RELAPSE_BY_LATENCY, relapseFactor = NO_RELAPSE_BY_LATENCY)
+    }
+
+    private fun permits(): Int = condition.permits
+
+    private fun load(): UpstreamLoad = entries.load()
+
+    private fun announcement(): Announcement = Announcement(
+        upstream = settings.upstream,
+        zone = process.zone,
+        agentHost = settings.linkAddress.host,
+        agentPort = port,
+        incarnation = incarnation,
+        versions = settings.versions,
+        load = load(),
+        leaving = gate.leaving,
+    )
+
+    /** Refuses new work, tells everybody, finishes what runs and commits what no entry has settled. */
+    private suspend fun leave() {
+        gate.leaving = true
+        control.hurry()
+        val done =
+            withTimeoutOrNull(process.drainMillis) {
+                entries.awaitIdle()
+                settlement.flush()
+            }
+        if (done == null) logger.warn { "expected no running attempt after ${process.drainMillis} ms: ${load()}" }
+    }
+
+    private suspend fun close() {
+        control.close()
+        hub.drain()
+        hub.close()
+        upstream.close()
+        scope.cancel()
+        telemetry.close()
+    }
+}
--- a/agent/src/main/kotlin/io/carawaytrack/agent/AgentSettings.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/AgentSettings.kt
@@ -18,6 +18,7 @@
  * @property linkAddress address on which entries connect
  * @property versions what the upstream serves
  * @property maxPermits requests that the upstream bears at once when it is warm
+ * @property coldPermits requests that it bears at once after a cold start
  * @property settleMillis time after which the agent itself commits an outcome that no entry has settled
  */
 internal data class AgentSettings(
@@ -29,11 +30,13 @@
     val linkAddress: HostPort,
     val control: List<HostPort>,
     val maxPermits: Int,
+    val coldPermits: Int,
     val settleMillis: Long,
 )
 
 private const val MODEL_KIND = "model"
 private const val DEFAULT_PERMITS = 32
+private const val DEFAULT_COLD_PERMITS = 4
 private const val MOST_PERMITS = 100_000
 private const val DEFAULT_SETTLE_MILLIS = 10_000L
 private const val LONGEST_SETTLE_MILLIS = 3_600_000L
@@ -49,6 +52,7 @@
         linkAddress = address("link_address"),
         control = addressList("control_addresses"),
         maxPermits = int("upstream.max_permits", 1..MOST_PERMITS, DEFAULT_PERMITS),
+        coldPermits = int("upstream.cold_permits", 1..MOST_PERMITS, DEFAULT_COLD_PERMITS),
         settleMillis = long("settle_millis", 0..LONGEST_SETTLE_MILLIS, DEFAULT_SETTLE_MILLIS),
     )
 }
--- a/agent/src/main/kotlin/io/carawaytrack/agent/AttemptRunner.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/AttemptRunner.kt
@@ -20,11 +20,8 @@
 import io.carawaytrack.wire.Message
 import io.carawaytrack.wire.OpenAttempt
 import io.carawaytrack.wire.Usage
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import java.io.ByteArrayOutputStream
 import java.io.IOException
@@ -38,6 +35,7 @@
     val usage: Usage,
     val answer: StoredAnswer?,
     val failure: Failure?,
+    val elapsedMillis: Long,
 )
 
 /** One attempt on its way through the agent. */
@@ -45,6 +43,7 @@
     private val attempt: OpenAttempt,
     private val send: suspend (Message) -> Boolean,
     private val load: () -> UpstreamLoad,
+    private val nowMillis: () -> Long,
 ) {
     /** Completed with true once the entry has committed the outcome, with false when the entry is gone. */
     val settled: CompletableDeferred<Boolean> = CompletableDeferred()
@@ -60,9 +59,10 @@
         send(AttemptRefused(attempt.attempt, failure, load()))
     }
 
-    /** Runs the attempt; returns null when it was cancelled before the upstream saw it. */
-    suspend fun run(runUpstream: RunUpstream): AttemptOutcome? {
+    /** Runs the attempt to its end. */
+    suspend fun run(runUpstream: RunUpstream): AttemptOutcome {
         val answer = RelayedAnswer()
+        val startedAtMillis = nowMillis()
         val failure =
             try {
                 withTimeout(attempt.timeoutMillis) {
@@ -74,16 +74,14 @@
                 timeout()
             } catch (broken: IOException) {
                 upstreamFailed(broken)
-            } catch (cancelled: CancellationException) {
-                withContext(NonCancellable) { cancelled() }
-                throw cancelled
             }
-        return finish(answer, failure)
+        return finish(answer, failure, nowMillis() - startedAtMillis)
     }
 
     private suspend fun finish(
         answer: RelayedAnswer,
         failure: Failure?,
+        elapsedMillis: Long,
     ): AttemptOutcome {
         val usage = answer.usage()
         if (failure == null) {
@@ -91,10 +89,11 @@
         } else {
             send(AnswerFailed(attempt.attempt, failure, load()))
         }
-        return AttemptOutcome(attempt, usage, answer.stored(), failure)
+        return AttemptOutcome(attempt, usage, answer.stored(), failure, elapsedMillis)
     }
 
-    private suspend fun cancelled() {
+    /** Tells the entry whether the cancelled attempt may have run. */
+    suspend fun cancelled() {
         if (!begun) return refuse(ErrorKind.CallerGone.notRun())
         send(AnswerFailed(attempt.attempt, Failure(ErrorKind.CallerGone, Execution.MayHaveRun), load()))
     }
--- a/agent/src/main/kotlin/io/carawaytrack/agent/EntryService.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/EntryService.kt
@@ -3,9 +3,18 @@
  */
 package io.carawaytrack.agent
 
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
+import io.carawaytrack.limits.AdmissionQueue
+import io.carawaytrack.limits.AdmissionRequest
+import io.carawaytrack.limits.Ticket
+import io.carawaytrack.model.Configuration
 import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Execution
+import io.carawaytrack.model.Failure
 import io.carawaytrack.model.UpstreamLoad
-import io.carawaytrack.model.notRun
+import io.carawaytrack.telemetry.AgentMetrics
+import io.carawaytrack.telemetry.UpstreamAttemptEnd
 import io.carawaytrack.wire.AttemptSettled
 import io.carawaytrack.wire.CancelAttempt
 import io.carawaytrack.wire.Credit
@@ -16,30 +25,46 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.flow.MutableStateFlow
-import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
 
 private val logger = KotlinLogging.logger {}
 
-private const val FULL_RETRY_AFTER_MILLIS = 100L
+private const val LONGEST_WAIT_MILLIS = 2_000L
+private const val NANOS_PER_MILLI = 1_000_000L
+
+/** What an [EntryService] needs from the agent around it. */
+internal class EntryServicePorts(
+    val gate: Gate,
+    val condition: UpstreamCondition,
+    val admission: AdmissionQueue,
+    val configuration: () -> Configuration,
+    val runUpstream: RunUpstream,
+    val metrics: AgentMetrics,
+    val nowMillis: () -> Long,
+    val onOutcome: (AttemptOutcome, AttemptRunner) -> Unit,
+)
 
 internal class EntryService(
     private val scope: CoroutineScope,
-    private val gate: Gate,
-    private val permits: () -> Int,
-    private val runUpstream: RunUpstream,
-    private val onOutcome: (AttemptOutcome, AttemptRunner) -> Unit,
+    private val ports: EntryServicePorts,
 ) {
-    private val running = MutableStateFlow(0)
+    private val admission = ports.admission
+    private val queuedTokens = AtomicLong()
 
-    fun load(): UpstreamLoad = UpstreamLoad(permits = permits(), running = running.value)
+    fun load(): UpstreamLoad = UpstreamLoad(
+        permits = ports.condition.permits,
+        running = admission.running + admission.waiting,
+        queuedTokens = queuedTokens.get(),
+    )
 
-    /** Waits until no attempt runs. */
+    /** Refuses what comes from now on and waits until no attempt runs. */
     suspend fun awaitIdle() {
-        running.first { it == 0 }
+        admission.closeForNew()
+        admission.awaitIdle()
     }
 
     suspend fun serve(link: Link) {
@@ -49,12 +74,7 @@
                 is OpenAttempt -> open(link, message, attempts)
                 is Credit -> attempts[message.attempt]?.runner?.addCredit(message.bytes)
                 is CancelAttempt -> attempts[message.attempt]?.cancel()
-                is AttemptSettled ->
-                    attempts
-                        .remove(message.attempt)
-                        ?.runner
-                        ?.settled
-                        ?.complete(true)
+                is AttemptSettled -> attempts[message.attempt]?.runner?.settled?.complete(true)
                 else -> logger.warn { "ignored a ${message::class.simpleName} from ${link.peer.node}" }
             }
         }
@@ -66,37 +86,89 @@
         attempt: OpenAttempt,
         attempts: ConcurrentHashMap<Long, RunningAttempt>,
     ) {
-        val runner = AttemptRunner(attempt, link::send, ::load)
-        val refusal = gate.refusal(attempt) ?: if (acquire()) null else full()
-        if (refusal != null) return runner.refuse(refusal)
+        val runner = AttemptRunner(attempt, link::send, ::load, ports.nowMillis)
+        refusal(attempt)?.let { return refuse(runner, it) }
         runner.settled.invokeOnCompletion { attempts.remove(attempt.attempt) }
-        val job = scope.launch(start = CoroutineStart.LAZY) { run(runner) }
+        val job = scope.launch(start = CoroutineStart.LAZY) { admitAndRun(attempt, runner) }
         attempts[attempt.attempt] = RunningAttempt(attempt, runner, job)
         job.start()
     }
 
-    private fun full() = ErrorKind.PoolExhausted.notRun("all ${permits()} permits are taken", FULL_RETRY_AFTER_MILLIS)
+    private fun refusal(attempt: OpenAttempt): Failure? =
+        ports.gate.refusal(attempt) ?: ports.condition.refusal(attempt.fingerprint)
 
-    private fun acquire(): Boolean {
-        while (true) {
-            val now = running.value
-            if (now >= permits()) return false
-            if (running.compareAndSet(now, now + 1)) return true
-        }
+    private suspend fun refuse(
+        runner: AttemptRunner,
+        failure: Failure,
+    ) {
+        ports.metrics.refused(failure.kind)
+        if (failure.kind == ErrorKind.Quarantined) ports.metrics.quarantined()
+        runner.settled.complete(false)
+        runner.refuse(failure)
     }
 
-    private suspend fun run(runner: AttemptRunner) {
+    private suspend fun admitAndRun(
+        attempt: OpenAttempt,
+        runner: AttemptRunner,
+    ) {
+        val tokens = attempt.estimatedTokens
+        queuedTokens.addAndGet(tokens)
         try {
-            val outcome = runner.run(runUpstream)
-            if (outcome == null || outcome.failure != null) runner.settled.complete(false)
-            if (outcome != null) onOutcome(outcome, runner)
+            val ticket = ticket(attempt).getOrElse { return refuse(runner, it) }
+            ticket.use { run(attempt, runner) }
         } catch (cancelled: CancellationException) {
-            runner.settled.complete(false)
+            withContext(NonCancellable) { endCancelled(attempt, runner) }
             throw cancelled
         } finally {
-            running.update { it - 1 }
+            queuedTokens.addAndGet(-tokens)
         }
     }
+
+    private suspend fun ticket(attempt: OpenAttempt): Result<Ticket, Failure> = admission.acquire(
+        AdmissionRequest(
+            organisation = attempt.organisation,
+            share = shareOf(attempt),
+            priority = attempt.priority,
+            cost = attempt.estimatedTokens.coerceAtLeast(1),
+            deadlineMillis = ports.nowMillis() + minOf(attempt.timeoutMillis, LONGEST_WAIT_MILLIS),
+        ),
+    )
+
+    private fun shareOf(attempt: OpenAttempt): Int = ports
+        .configuration()
+        .tables.organisations
+        .find { it.name == attempt.organisation }
+        ?.share ?: 1
+
+    private suspend fun run(
+        attempt: OpenAttempt,
+        runner: AttemptRunner,
+    ) {
+        // What was allowed when the attempt joined the queue may be forbidden now.
+        refusal(attempt)?.let { return refuse(runner, it) }
+        ports.condition.started(attempt.fingerprint)
+        val outcome = runner.run(ports.runUpstream)
+        if (outcome.failure != null) runner.settled.complete(false)
+        ports.onOutcome(outcome, runner)
+        ports.metrics.attemptEnded(outcome.toMetric())
+        ports.condition.ended(attempt.fingerprint, outcome)
+    }
+
+    private suspend fun endCancelled(
+        attempt: OpenAttempt,
+        runner: AttemptRunner,
+    ) {
+        runner.settled.complete(false)
+        runner.cancelled()
+        ports.condition.ended(attempt.fingerprint, outcome = null)
+    }
+
+    private fun AttemptOutcome.toMetric() = UpstreamAttemptEnd(
+        version = attempt.version,
+        failure = failure?.kind,
+        execution = failure?.execution ?: Execution.Ran,
+        elapsedNanos = elapsedMillis * NANOS_PER_MILLI,
+    )
 }
 
 private class RunningAttempt(
--- a/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
@@ -21,8 +21,14 @@
 import io.ktor.util.flattenEntries
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.withContext
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Socket
 
 private const val CHUNK_BYTES = 16 * 1024
+private const val PROBE_TIMEOUT_MILLIS = 1_000
 private const val CONNECTIONS = 10_000
 
 private val hopByHop =
@@ -97,6 +103,16 @@
         return name !in hopByHop && name != HttpHeaders.Authorization.lowercase() && name != "traceparent"
     }
 
+    /** Returns whether the upstream accepts connections. */
+    suspend fun probe(): Boolean = withContext(Dispatchers.IO) {
+        try {
+            Socket().use { it.connect(InetSocketAddress(upstream.host, upstream.port), PROBE_TIMEOUT_MILLIS) }
+            true
+        } catch (_: IOException) {
+            false
+        }
+    }
+
     override fun close(): Unit = client.close()
 }
 
--- a/control/src/main/kotlin/io/carawaytrack/control/HolderRegistry.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/HolderRegistry.kt
@@ -9,6 +9,7 @@
 import io.carawaytrack.model.Membership
 import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.SuspectReport
 import io.carawaytrack.model.UpstreamId
 import io.carawaytrack.wire.Heartbeat
 import io.carawaytrack.wire.PeerIdentity
@@ -34,12 +35,23 @@
     val gone: Boolean,
 )
 
+private data class SuspectRecord(
+    val report: SuspectReport,
+    val changeNumber: Long,
+)
+
+internal data class SuspectNews(
+    val number: Long,
+    val reports: List<SuspectReport>,
+)
+
 internal class HolderRegistry(
     private val nowMillis: () -> Long,
 ) {
     private val lock = ReentrantLock()
     private val holders = HashMap<NodeId, HolderRecord>()
     private val upstreams = HashMap<UpstreamId, UpstreamRecord>()
+    private val suspects = HashMap<NodeId, SuspectRecord>()
     private var changeNumber = 0L
     private var leadingSinceMillis: Long? = null
 
@@ -57,6 +69,12 @@
     ): Unit = lock.withLock {
         holders[peer.node] = HolderRecord(peer, heartbeat.configurationNumber, nowMillis())
         heartbeat.announcement?.let(::announced)
+        heartbeat.suspects?.let { suspects[it.origin] = SuspectRecord(it, ++changeNumber) }
+    }
+
+    /** Returns the suspects reported after the change [number], and the number to ask from next. */
+    fun suspectsSince(number: Long): SuspectNews = lock.withLock {
+        SuspectNews(changeNumber, suspects.values.filter { it.changeNumber > number }.map { it.report })
     }
 
     private fun announced(announcement: Announcement) {
--- a/control/src/main/kotlin/io/carawaytrack/control/HolderService.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/HolderService.kt
@@ -14,6 +14,7 @@
 import io.carawaytrack.model.LEASE_MILLIS
 import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.SuspectReport
 import io.carawaytrack.wire.ConfigurationPush
 import io.carawaytrack.wire.Heartbeat
 import io.carawaytrack.wire.LeaseGrant
@@ -36,15 +37,15 @@
     private val registry: HolderRegistry,
     private val members: Map<NodeId, HostPort>,
 ) {
-    private val links = ConcurrentHashMap.newKeySet<Link>()
+    private val links = ConcurrentHashMap<Link, HolderLink>()
 
     /** Sends [configuration] to every holder that is connected here. */
     fun push(configuration: Configuration) {
-        links.filter { it.peer.role != NodeRole.Control }.forEach { it.offer(ConfigurationPush(configuration)) }
+        links.keys.filter { it.peer.role != NodeRole.Control }.forEach { it.offer(ConfigurationPush(configuration)) }
     }
 
     suspend fun serve(link: Link) {
-        links += link
+        links[link] = HolderLink()
         try {
             coroutineScope { receiveAll(link) }
         } finally {
@@ -95,9 +96,17 @@
             configurationNumber = configuration.number,
             configuration = configuration.takeIf { it.number > heartbeat.configurationNumber },
             membership = membership,
+            suspects = if (link.peer.role == NodeRole.Agent) suspectsFor(link) else emptyList(),
         )
     }
 
+    private fun suspectsFor(link: Link): List<SuspectReport> {
+        val held = links[link] ?: return emptyList()
+        val news = registry.suspectsSince(held.suspectsNumber)
+        held.suspectsNumber = news.number
+        return news.reports
+    }
+
     private suspend fun answer(
         link: Link,
         call: LedgerCall,
@@ -119,3 +128,9 @@
 
     private fun leaderAddress(): HostPort? = replica.status().leader?.let(members::get)
 }
+
+/** What this host has told the holder at the other end of a link. */
+private class HolderLink {
+    @Volatile
+    var suspectsNumber = 0L
+}
--- a/limits/src/main/kotlin/io/carawaytrack/limits/Quarantine.kt
+++ b/limits/src/main/kotlin/io/carawaytrack/limits/Quarantine.kt
@@ -8,27 +8,9 @@
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.NodeId
+import io.carawaytrack.model.SuspectCount
+import io.carawaytrack.model.SuspectReport
 import io.carawaytrack.model.notRun
-import kotlinx.serialization.Serializable
-
-/** Counts the deaths of upstreams at which the request with [fingerprint] was in flight. */
-@Serializable
-public data class SuspectCount(
-    val fingerprint: Long,
-    val deaths: Int,
-)
-
-/**
- * Reports all that one agent has seen.
- *
- * @property sequence rises with each change; a report with a lower one is out of date
- */
-@Serializable
-public data class SuspectReport(
-    val origin: NodeId,
-    val sequence: Long,
-    val counts: List<SuspectCount>,
-)
 
 /**
  * Sets up a quarantine.
--- a/membership/src/main/kotlin/io/carawaytrack/membership/ControlClient.kt
+++ b/membership/src/main/kotlin/io/carawaytrack/membership/ControlClient.kt
@@ -16,6 +16,7 @@
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HostPort
 import io.carawaytrack.model.Membership
+import io.carawaytrack.model.SuspectReport
 import io.carawaytrack.model.notRun
 import io.carawaytrack.wire.ConfigurationPush
 import io.carawaytrack.wire.Heartbeat
@@ -78,13 +79,16 @@
  * Holds what the client needs from the process around it.
  *
  * @property announcement what an agent tells of its upstream; null for an entry
+ * @property suspects what an agent holds against requests; null for an entry
  */
 public data class ControlClientPorts(
     val connect: suspend (HostPort) -> Result<Link, Failure>,
     val nowMillis: () -> Long,
     val announcement: () -> Announcement? = { null },
+    val suspects: () -> SuspectReport? = { null },
     val onConfiguration: (Configuration) -> Unit = {},
     val onMembership: (Membership) -> Unit = {},
+    val onSuspects: (SuspectReport) -> Unit = {},
 )
 
 /** Creates a client of the control hosts at [addresses]; it does nothing until it is started. */
@@ -162,6 +166,7 @@
             membershipNumber = membership.number
             ports.onMembership(membership)
         }
+        message.suspects.forEach(ports.onSuspects)
         // A grant speaks for the configuration it names; without that one the holder would place work on an older one.
         if (configuration.number < message.configurationNumber) return
         renewable.renew(sentAtMillis, message.durationMillis)
@@ -269,6 +274,8 @@
     @Volatile
     private var hasMembership = false
 
+    private var suspectsSequence = 0L
+
     fun sent(): Long {
         val number = sequence.incrementAndGet()
         sentAtMillis[number] = nowMillis()
@@ -289,6 +296,13 @@
     /** Numbers of memberships are one leader's own, so a new connection starts from none. */
     fun membershipNumber(number: Long): Long = if (hasMembership) number else 0
 
+    /** Returns [report] the first time that it is seen on this link, so that a steady state costs nothing. */
+    fun ifNews(report: SuspectReport): SuspectReport? {
+        if (report.sequence == suspectsSequence) return null
+        suspectsSequence = report.sequence
+        return report
+    }
+
     fun await(call: Long): CompletableDeferred<ByteArray?> {
         val waiting = CompletableDeferred<ByteArray?>()
         pending[call] = waiting
--- a/wire/src/main/kotlin/io/carawaytrack/wire/Link.kt
+++ b/wire/src/main/kotlin/io/carawaytrack/wire/Link.kt
@@ -21,13 +21,14 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.network.sockets.port
+import io.ktor.utils.io.ByteChannel
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.ByteWriteChannel
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
@@ -37,6 +38,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 
 private val logger = KotlinLogging.logger {}
@@ -50,6 +52,9 @@
 /** Silence after which a link closes itself, in milliseconds. */
 public const val SILENCE_LIMIT_MILLIS: Long = 4_000
 
+/** Bound on the sending of what is queued when a process stops, in milliseconds. */
+public const val DRAIN_LIMIT_MILLIS: Long = 2_000
+
 private const val OUTBOX_MESSAGES = 256
 private const val MESSAGES_PER_FLUSH = 32
 
@@ -78,6 +83,9 @@
         address: HostPort,
         serve: suspend (Link) -> Unit,
     ): Int
+
+    /** Sends what is queued on every link, then closes the link; waits at most [DRAIN_LIMIT_MILLIS]. */
+    public suspend fun drain()
 }
 
 /** Creates a hub whose links carry [self] and authenticate by [secret]. */
@@ -94,6 +102,7 @@
 ) : LinkHub {
     private val selector = SelectorManager(Dispatchers.IO)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val links = ConcurrentHashMap.newKeySet<SocketLink>()
 
     override suspend fun connect(address: HostPort): Result<Link, Failure> {
         val socket =
@@ -141,12 +150,13 @@
         agree: suspend (ByteReadChannel, ByteWriteChannel, PeerIdentity, SharedSecret) -> Result<PeerIdentity, Failure>,
     ): Result<Link, Failure> {
         val read = socket.openReadChannel()
-        val write = socket.openWriteChannel(autoFlush = false)
+        val write = ByteChannel(autoFlush = false)
+        val sending = socket.attachForWriting(write).job
         val peer =
             withTimeoutOrNull(HANDSHAKE_TIMEOUT_MILLIS) { guarded { agree(read, write, self, secret) } }
                 ?: Err(violation("a handshake", "nothing within $HANDSHAKE_TIMEOUT_MILLIS ms"))
         return peer.mapBoth(
-            { Ok(SocketLink(it, socket, read, write, scope, nowMillis).also(SocketLink::start)) },
+            { Ok(opened(SocketLink(it, socket, read, write, sending, scope, nowMillis))) },
             { failure ->
                 socket.close()
                 Err(failure)
@@ -154,6 +164,16 @@
         )
     }
 
+    private fun opened(link: SocketLink): Link {
+        links += link
+        link.start(onClose = { links -= link })
+        return link
+    }
+
+    override suspend fun drain() {
+        withTimeoutOrNull(DRAIN_LIMIT_MILLIS) { links.toList().forEach { it.drain() } }
+    }
+
     private suspend fun guarded(agree: suspend () -> Result<PeerIdentity, Failure>): Result<PeerIdentity, Failure> =
         try {
             agree()
@@ -175,6 +195,7 @@
     private val socket: Socket,
     private val read: ByteReadChannel,
     private val write: ByteWriteChannel,
+    private val sending: Job,
     private val scope: CoroutineScope,
     private val nowMillis: () -> Long,
 ) : Link {
@@ -184,11 +205,21 @@
     @Volatile
     private var heardAtMillis = nowMillis()
 
-    fun start() {
-        scope.launch { writeAll() }.invokeOnCompletion { close() }
+    fun start(onClose: () -> Unit) {
+        scope.launch { writeAll() }.invokeOnCompletion {
+            close()
+            onClose()
+        }
         scope.launch { keepAlive() }
     }
 
+    /** Lets everything that is queued reach the socket, then closes the link. */
+    suspend fun drain() {
+        outbox.close()
+        sending.join()
+        close()
+    }
+
     override suspend fun send(message: Message): Boolean = try {
         outbox.send(message)
         true
@@ -232,6 +263,8 @@
                 writeWaiting()
                 write.flush()
             }
+            write.flushAndClose()
+            sending.join()
         } catch (broken: IOException) {
             logger.debug { "link to ${peer.node} broke: ${broken.message}" }
         } catch (cancelled: CancellationException) {
@@ -261,7 +294,7 @@
 
     override fun close() {
         if (!closed.compareAndSet(false, true)) return
-        outbox.close()
+        outbox.cancel()
         socket.close()
     }
 }
--- a/wire/src/main/kotlin/io/carawaytrack/wire/Message.kt
+++ b/wire/src/main/kotlin/io/carawaytrack/wire/Message.kt
@@ -19,6 +19,7 @@
 import io.carawaytrack.model.Priority
 import io.carawaytrack.model.RequestId
 import io.carawaytrack.model.SessionId
+import io.carawaytrack.model.SuspectReport
 import io.carawaytrack.model.UpstreamLoad
 import io.carawaytrack.model.ZoneName
 import kotlinx.serialization.SerialName
@@ -188,6 +189,7 @@
  * @property sequence rises with each heartbeat; the grant repeats it
  * @property announcement set by agents
  * @property membershipNumber last membership the sender has, entries only
+ * @property suspects what the agent holds against requests, when it has changed since it was last sent on this link
  */
 @Serializable
 @SerialName("hb")
@@ -196,7 +198,7 @@
     public val configurationNumber: Long,
     public val announcement: Announcement? = null,
     public val membershipNumber: Long = 0,
-    public val leaderTerm: Long = 0,
+    public val suspects: SuspectReport? = null,
 ) : Message
 
 /**
@@ -204,6 +206,7 @@
  *
  * @property configuration set when the holder's number was lower
  * @property membership set for entries when it has changed
+ * @property suspects what other agents hold against requests, set for agents when it has changed
  */
 @Serializable
 @SerialName("lg")
@@ -212,8 +215,8 @@
     public val durationMillis: Long,
     public val configurationNumber: Long,
     public val configuration: Configuration? = null,
-    public val leaderTerm: Long = 0,
     public val membership: Membership? = null,
+    public val suspects: List<SuspectReport> = emptyList(),
 ) : Message
 
 /** Pushes a configuration that has just been accepted. */
