Account for held answers, budget retries and show metrics at the entry

Cause: nothing bounded what slow callers make the entry hold, a failing pool could double its own load by retries, and no metric of the entry was fed.

Ruled out: counting the window itself as held memory (an idle fast stream would look slow); refusing callers during the drain notice (the balancer still sends then, so a planned stop would refuse what it promised to serve).

--- a/entry/src/main/kotlin/io/carawaytrack/entry/AgentLinks.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/AgentLinks.kt
@@ -44,8 +44,10 @@
         val headers: List<Header>,
     ) : AnswerEvent
 
+    /** [held] tells whether the bytes are accounted for in the memory budget. */
     class Chunk(
         val bytes: ByteArray,
+        val held: Boolean,
     ) : AnswerEvent
 
     data class End(
@@ -63,8 +65,11 @@
 
     suspend fun next(): AnswerEvent
 
-    /** Allows [bytes] more of the answer to be sent. */
-    suspend fun consumed(bytes: Long)
+    /** Gives back the memory of [chunk] and allows as many bytes more of the answer to be sent. */
+    suspend fun consumed(chunk: AnswerEvent.Chunk)
+
+    /** Calls [end] when the memory budget asks for the end of this stream. */
+    fun onOverrun(end: () -> Unit)
 
     suspend fun cancel()
 
@@ -78,6 +83,7 @@
 internal class AgentLinks(
     private val scope: CoroutineScope,
     private val connect: suspend (HostPort) -> Result<Link, Failure>,
+    private val memory: AnswerMemory,
     private val onLoad: (UpstreamId, UpstreamLoad) -> Unit,
 ) {
     private val agents = ConcurrentHashMap<UpstreamId, AgentConnection>()
@@ -104,7 +110,7 @@
                 connect(HostPort(announcement.agentHost, announcement.agentPort)).getOrElse { failure ->
                     return Err(ErrorKind.NoHealthyUpstream.notRun(failure.detail))
                 }
-            val opened = AgentLink(link, announcement, onLoad)
+            val opened = AgentLink(link, announcement, memory, onLoad)
             scope.launch { opened.receiveAll() }
             current = opened
             return Ok(opened)
@@ -115,6 +121,7 @@
 private class AgentLink(
     private val link: Link,
     private val opened: Announcement,
+    private val memory: AnswerMemory,
     private val onLoad: (UpstreamId, UpstreamLoad) -> Unit,
 ) {
     private val attempts = ConcurrentHashMap<Long, OpenedAttempt>()
@@ -134,11 +141,12 @@
         build: BuildAttempt,
     ): Result<Attempt, Failure> {
         val number = numbers.incrementAndGet()
-        val attempt = OpenedAttempt(number, announcement, link)
+        val attempt = OpenedAttempt(number, announcement, link, memory)
         attempts[number] = attempt
         val sent = link.send(build(number))
         if (sent && !closed) return Ok(attempt)
         attempts.remove(number)
+        attempt.close()
         // The order was queued if it was accepted at all, so a link that closes now may have carried it.
         if (sent) return Err(lost())
         return Err(ErrorKind.NoHealthyUpstream.notRun("the link to ${opened.upstream} closed"))
@@ -183,7 +191,12 @@
     private val number: Long,
     override val announcement: Announcement,
     private val link: Link,
+    private val memory: AnswerMemory,
 ) : Attempt {
+    @Volatile
+    private var overrun: () -> Unit = {}
+    private val stream = memory.open { overrun() }
+
     // Bounded by the credit that has been given, which is counted in bytes.
     private val events = Channel<AnswerEvent>(Channel.UNLIMITED)
     private var expectedSequence = 0L
@@ -197,7 +210,7 @@
         if (message.sequence < expectedSequence) return
         if (message.sequence > expectedSequence) return deliver(gap(message.sequence))
         expectedSequence++
-        deliver(AnswerEvent.Chunk(message.bytes))
+        deliver(AnswerEvent.Chunk(message.bytes, memory.hold(stream, message.bytes.size)))
     }
 
     fun end(message: AnswerEnd) {
@@ -210,16 +223,29 @@
         return AnswerEvent.Failed(Failure(ErrorKind.IncompleteAnswer, Execution.MayHaveRun, detail))
     }
 
-    override suspend fun next(): AnswerEvent = events.receive()
+    override suspend fun next(): AnswerEvent {
+        val event = events.receive()
+        if (event is AnswerEvent.End || event is AnswerEvent.Failed) close()
+        return event
+    }
 
-    override suspend fun consumed(bytes: Long) {
-        link.send(Credit(number, bytes))
+    override suspend fun consumed(chunk: AnswerEvent.Chunk) {
+        val bytes = chunk.bytes.size
+        if (chunk.held) memory.release(stream, bytes) else memory.awaitRoom(stream, bytes)
+        link.send(Credit(number, bytes.toLong()))
+    }
+
+    override fun onOverrun(end: () -> Unit) {
+        overrun = end
     }
 
     override suspend fun cancel() {
+        close()
         link.send(CancelAttempt(number))
     }
 
+    fun close(): Unit = memory.close(stream)
+
     override suspend fun settled() {
         link.send(AttemptSettled(number))
     }
--- a/entry/src/main/kotlin/io/carawaytrack/entry/Answer.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Answer.kt
@@ -28,10 +28,13 @@
     val usage: Usage
 
     /** Returns the next part of the body, or null after the last one. */
-    suspend fun next(): Result<ByteArray?, Failure>
+    suspend fun next(): Result<AnswerEvent.Chunk?, Failure>
 
-    /** Makes room for [bytes] more of the answer. */
-    suspend fun consumed(bytes: Int)
+    /** Gives back [chunk], which the caller has taken, and makes room for more of the answer. */
+    suspend fun consumed(chunk: AnswerEvent.Chunk)
+
+    /** Calls [end] when the memory budget asks for the end of this answer. */
+    fun onOverrun(end: () -> Unit)
 
     suspend fun cancel()
 
@@ -53,8 +56,8 @@
     override var usage: Usage = Usage()
         private set
 
-    override suspend fun next(): Result<ByteArray?, Failure> = when (val event = attempt.next()) {
-        is AnswerEvent.Chunk -> Ok(event.bytes)
+    override suspend fun next(): Result<AnswerEvent.Chunk?, Failure> = when (val event = attempt.next()) {
+        is AnswerEvent.Chunk -> Ok(event)
         is AnswerEvent.End -> {
             usage = event.usage
             onEnd(true)
@@ -67,7 +70,9 @@
         is AnswerEvent.Head -> next()
     }
 
-    override suspend fun consumed(bytes: Int): Unit = attempt.consumed(bytes.toLong())
+    override suspend fun consumed(chunk: AnswerEvent.Chunk): Unit = attempt.consumed(chunk)
+
+    override fun onOverrun(end: () -> Unit): Unit = attempt.onOverrun(end)
 
     override suspend fun cancel() {
         onEnd(true)
@@ -84,13 +89,13 @@
 ) : Answer by source {
     private var read = false
 
-    override suspend fun next(): Result<ByteArray?, Failure> {
-        val part = if (read) null else body
+    override suspend fun next(): Result<AnswerEvent.Chunk?, Failure> {
+        val part = if (read) null else AnswerEvent.Chunk(body, held = false)
         read = true
         return Ok(part)
     }
 
-    override suspend fun consumed(bytes: Int): Unit = Unit
+    override suspend fun consumed(chunk: AnswerEvent.Chunk): Unit = Unit
 
     override suspend fun cancel(): Unit = Unit
 }
@@ -100,8 +105,8 @@
     val body = ByteArrayOutputStream()
     while (true) {
         val part = answer.next().getOrElse { return Err(it) } ?: break
-        answer.consumed(part.size)
-        body.write(part)
+        body.write(part.bytes)
+        answer.consumed(part)
         if (body.size() > MAX_COLLECTED_BYTES) {
             answer.cancel()
             val detail = "expected an answer of at most $MAX_COLLECTED_BYTES bytes"
--- a/entry/src/main/kotlin/io/carawaytrack/entry/CallerApi.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/CallerApi.kt
@@ -14,7 +14,9 @@
 import io.carawaytrack.model.HostPort
 import io.carawaytrack.model.RequestId
 import io.carawaytrack.model.notRun
+import io.carawaytrack.telemetry.EntryMetrics
 import io.carawaytrack.telemetry.HopSpan
+import io.carawaytrack.telemetry.RequestEnd
 import io.carawaytrack.telemetry.Telemetry
 import io.carawaytrack.telemetry.error
 import io.carawaytrack.telemetry.info
@@ -38,9 +40,11 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.async
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.job
 import kotlinx.coroutines.withContext
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -84,6 +88,8 @@
     private val reader: RequestReader,
     private val handler: RequestHandler,
     private val telemetry: Telemetry,
+    private val metrics: EntryMetrics,
+    private val nanoTime: () -> Long,
     private val mayAccept: () -> Failure?,
 ) {
     private val open = MutableStateFlow(0)
@@ -127,23 +133,65 @@
         span: HopSpan,
     ) {
         span.attribute("request", id.value)
-        mayAccept()?.let { return refuse(call, id, it, span) }
-        val request = reader.read(call, id, span.traceparent).getOrElse { return refuse(call, id, it, span) }
+        mayAccept()?.let { return refuseEarly(call, id, it, span) }
+        val request = reader.read(call, id, span.traceparent).getOrElse { return refuseEarly(call, id, it, span) }
         // The work outlives a caller that goes away, so that a request which must not run twice is followed to its end.
+        val startedNanos = nanoTime()
         val reply = scope.async { handler.handle(request) }
-        when (val outcome = reply.await()) {
-            is Reply.Refused -> refuse(call, outcome.request, outcome.failure, span)
-            is Reply.Repeated -> repeat(call, outcome)
-            is Reply.Answered -> relay(call, outcome, span)
+        val outcome = reply.await()
+        metrics.firstByte(request.route.name, nanoTime() - startedNanos)
+        val failure =
+            when (outcome) {
+                is Reply.Refused -> refuse(call, outcome.request, outcome.failure, span)
+                is Reply.Repeated -> repeat(call, outcome, span)
+                is Reply.Answered -> relay(call, outcome, span)
+            }
+        metrics.requestEnded(ended(request, outcome, failure, nanoTime() - startedNanos))
+    }
+
+    private fun ended(
+        request: CallerRequest,
+        reply: Reply,
+        failure: Failure?,
+        elapsedNanos: Long,
+    ) = RequestEnd(
+        organisation = request.organisation.name,
+        route = request.route.name,
+        version = (reply as? Reply.Answered)?.answer?.version,
+        failure = failure?.kind,
+        execution = failure?.execution ?: Execution.Ran,
+        elapsedNanos = elapsedNanos,
+    )
+
+    /** Measures the time between the parts of one stream. */
+    private inner class Pace(
+        private val route: String,
+    ) {
+        private var lastNanos = nanoTime()
+
+        fun chunk() {
+            val nowNanos = nanoTime()
+            metrics.chunkGap(route, nowNanos - lastNanos)
+            lastNanos = nowNanos
         }
     }
 
-    private suspend fun refuse(
+    private suspend fun refuseEarly(
         call: ApplicationCall,
         id: RequestId,
         failure: Failure,
         span: HopSpan,
     ) {
+        metrics.requestEnded(RequestEnd(null, null, null, failure.kind, failure.execution, 0))
+        refuse(call, id, failure, span)
+    }
+
+    private suspend fun refuse(
+        call: ApplicationCall,
+        id: RequestId,
+        failure: Failure,
+        span: HopSpan,
+    ): Failure {
         span.fail(failure.kind)
         logger.info(id) { "refused: ${failure.kind} ${failure.execution}: ${failure.detail}" }
         call.response.header(REQUEST_ID_HEADER, id.value)
@@ -151,6 +199,7 @@
         call.response.header(EXECUTION_HEADER, failure.execution.name)
         failure.retryAfterMillis?.let { call.response.header(HttpHeaders.RetryAfter, seconds(it)) }
         call.respondText(errorBody(id, failure), ContentType.Application.Json, failure.statusCode)
+        return failure
     }
 
     private fun seconds(millis: Long): String = ((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND).toString()
@@ -158,20 +207,14 @@
     private suspend fun repeat(
         call: ApplicationCall,
         reply: Reply.Repeated,
-    ) {
+        span: HopSpan,
+    ): Failure? {
         val stored = reply.answer
-        val body = stored.body ?: return refuseUnkept(call, reply)
+        val body = stored.body ?: return refuse(call, reply.request, unkept, span)
         call.response.header(REPEATED_HEADER, "true")
         call.describe(reply.request, stored.version.toString())
         call.respondBytes(body, stored.type(), HttpStatusCode.fromValue(stored.status))
-    }
-
-    private suspend fun refuseUnkept(
-        call: ApplicationCall,
-        reply: Reply.Repeated,
-    ) {
-        val failure = Failure(ErrorKind.AnswerNotKept, Execution.Ran)
-        telemetry.span("entry").use { refuse(call, reply.request, failure, it) }
+        return null
     }
 
     private fun StoredAnswer.type(): ContentType? = contentType?.let(ContentType::parse)
@@ -188,7 +231,7 @@
         call: ApplicationCall,
         reply: Reply.Answered,
         span: HopSpan,
-    ) {
+    ): Failure? {
         val answer = reply.answer
         span.attribute("version", answer.version.toString())
         span.attribute("upstream", answer.announcement.upstream.value)
@@ -202,10 +245,9 @@
             scope
                 .async { collected(answer).mapBoth({ finished(reply, it) }, { it }) }
                 .await()
-        when (whole) {
-            is Failure -> refuse(call, reply.request, whole, span)
-            is CollectedAnswer -> respond(call, reply, whole)
-        }
+        if (whole is Failure) return refuse(call, reply.request, whole, span)
+        respond(call, reply, whole as CollectedAnswer)
+        return null
     }
 
     private suspend fun finished(
@@ -237,26 +279,34 @@
     private suspend fun stream(
         call: ApplicationCall,
         reply: Reply.Answered,
-    ) {
+    ): Failure? {
         call.describeAnswer(reply)
         val type =
             reply.answer.head.contentType
                 ?.let(ContentType::parse)
-        call.respondBytesWriter(type, HttpStatusCode.fromValue(reply.answer.head.status)) { copy(reply, this) }
+        var failure: Failure? = null
+        call.respondBytesWriter(type, HttpStatusCode.fromValue(reply.answer.head.status)) {
+            failure = copy(reply, this)
+        }
+        return failure
     }
 
     private suspend fun copy(
         reply: Reply.Answered,
         out: ByteWriteChannel,
-    ) {
+    ): Failure? {
         val kept = ByteArrayOutputStream()
+        val pace = Pace(reply.route)
+        val copying = currentCoroutineContext().job
+        reply.answer.onOverrun { copying.cancel(CancellationException("the caller read too slowly")) }
         try {
             while (true) {
                 val part = reply.answer.next().getOrElse { return fail(reply, it, out) } ?: break
-                out.writeByteArray(part)
+                out.writeByteArray(part.bytes)
                 out.flush()
-                if (kept.size() <= MAX_STORED_ANSWER_BYTES) kept.write(part)
-                reply.answer.consumed(part.size)
+                if (kept.size() <= MAX_STORED_ANSWER_BYTES) kept.write(part.bytes)
+                reply.answer.consumed(part)
+                pace.chunk()
             }
         } catch (gone: IOException) {
             reply.answer.cancel()
@@ -266,6 +316,7 @@
             throw cancelled
         }
         withContext(NonCancellable) { reply.finish.complete(reply.answer, kept.toByteArray()) }
+        return null
     }
 
     /** Ends a stream that cannot be completed by an event that says so; the closing event is left out. */
@@ -273,10 +324,11 @@
         reply: Reply.Answered,
         failure: Failure,
         out: ByteWriteChannel,
-    ) {
+    ): Failure {
         logger.error(reply.request) { "stream ended early: ${failure.detail}" }
         out.writeByteArray("data: ${errorBody(reply.request, failure)}\n\n".encodeToByteArray())
         out.flush()
+        return failure
     }
 
     private fun errorBody(
@@ -288,6 +340,8 @@
     }
 }
 
+private val unkept = Failure(ErrorKind.AnswerNotKept, Execution.Ran)
+
 private val Failure.statusCode: HttpStatusCode get() = HttpStatusCode.fromValue(kind.status)
 
 /** Refuses new requests while the process may not place work. */
--- a/entry/src/main/kotlin/io/carawaytrack/entry/Dispatcher.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Dispatcher.kt
@@ -9,6 +9,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
+import io.carawaytrack.limits.RetryBudget
 import io.carawaytrack.membership.Lease
 import io.carawaytrack.model.Announcement
 import io.carawaytrack.model.Configuration
@@ -23,6 +24,8 @@
 import io.carawaytrack.routing.ChoiceRequest
 import io.carawaytrack.routing.UpstreamChooser
 import io.carawaytrack.routing.membersOf
+import io.carawaytrack.telemetry.AttemptEnd
+import io.carawaytrack.telemetry.EntryMetrics
 import io.carawaytrack.wire.OpenAttempt
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -33,6 +36,9 @@
 private const val CANCEL_ANSWER_MILLIS = 2_000L
 private const val LOWEST_SERVER_ERROR = 500
 
+/** Refusals that another upstream would give as well. */
+private val finalKinds = setOf(ErrorKind.Quarantined, ErrorKind.NotAllowed)
+
 internal class Dispatcher(
     private val chooser: UpstreamChooser,
     private val links: AgentLinks,
@@ -40,6 +46,8 @@
     private val configuration: () -> Configuration,
     private val nowMillis: () -> Long,
     private val windowBytes: Long,
+    private val retries: RetryBudget,
+    private val metrics: EntryMetrics,
 ) {
     /** Opens an answer of [version] to [request]; a failure says truthfully whether any upstream may have run it. */
     suspend fun open(
@@ -50,6 +58,7 @@
         val member =
             configuration().tables.membersOf(request.route.pool).find { it.version == version }
                 ?: return Err(ErrorKind.StaleConfiguration.notRun("$version left the pool ${request.route.pool}"))
+        retries.requested()
         return Search(request, member, pinned).run()
     }
 
@@ -108,9 +117,10 @@
         ): Boolean {
             failure = failed
             excluded += announcement.upstream
+            if (failed.kind in finalKinds) return false
             if (failed.execution == Execution.NotRun) return true
             execution = Execution.MayHaveRun
-            return request.repeatable && repeats++ < REPEATS_AFTER_FAILURE
+            return request.repeatable && repeats++ < REPEATS_AFTER_FAILURE && retries.tryRetry()
         }
 
         private fun ended(last: Failure): Result<Nothing, Failure> =
@@ -118,15 +128,18 @@
 
         private suspend fun attempt(announcement: Announcement): Result<Answer, Failure> {
             chooser.started(announcement.upstream, request.estimatedTokens)
+            metrics.attemptStarted(member.version, announcement.zone)
             val attempt =
                 links.open(announcement, ::order).getOrElse { failed ->
                     finished(announcement, healthy = false)
+                    ended(announcement, failed)
                     return Err(failed)
                 }
             return when (val first = first(attempt)) {
                 is AnswerEvent.Head -> opened(attempt, first)
                 is AnswerEvent.Failed -> {
                     finished(announcement, healthy = first.failure.execution == Execution.NotRun)
+                    ended(announcement, first.failure)
                     Err(first.failure)
                 }
                 else ->
@@ -142,7 +155,10 @@
         ): Result<Answer, Failure> {
             var ended = false
             val onEnd = { healthy: Boolean ->
-                if (!ended) finished(attempt.announcement, healthy)
+                if (!ended) {
+                    finished(attempt.announcement, healthy)
+                    ended(attempt.announcement, failure = null)
+                }
                 ended = true
             }
             if (request.route.kind == ServiceKind.Model && head.status >= LOWEST_SERVER_ERROR) {
@@ -158,6 +174,13 @@
             healthy: Boolean,
         ) = chooser.finished(announcement.upstream, request.estimatedTokens, healthy)
 
+        private fun ended(
+            announcement: Announcement,
+            failure: Failure?,
+        ) = metrics.attemptEnded(
+            AttemptEnd(member.version, announcement.zone, failure?.kind, failure?.execution ?: Execution.Ran),
+        )
+
         private suspend fun first(attempt: Attempt): AnswerEvent {
             val waitMillis = request.deadlineMillis - nowMillis()
             withTimeoutOrNull(waitMillis) { attempt.next() }?.let { return it }
--- a/entry/src/main/kotlin/io/carawaytrack/entry/Finish.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Finish.kt
@@ -9,6 +9,7 @@
 import io.carawaytrack.model.Bill
 import io.carawaytrack.routing.Observation
 import io.carawaytrack.routing.Planner
+import io.carawaytrack.telemetry.EntryMetrics
 
 private const val TOKENS_PER_KILO_TOKEN = 1_000.0
 private const val LOWEST_ERROR_STATUS = 400
@@ -17,6 +18,7 @@
     private val request: CallerRequest,
     private val ledger: LedgerClient,
     private val planner: Planner,
+    private val metrics: EntryMetrics,
     private val wallClockMillis: () -> Long,
     private val nowMillis: () -> Long,
 ) {
@@ -36,6 +38,7 @@
     ) {
         observe(answer)
         val command = command(answer, body)
+        command.bill?.let { metrics.billed(request.route.name, it) }
         if (request.idempotencyKey == null) return ledger.finishLater(command) { answer.settled() }
         if (ledger.finish(command)) answer.settled()
     }
--- a/entry/src/main/kotlin/io/carawaytrack/entry/RequestHandler.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/RequestHandler.kt
@@ -21,6 +21,7 @@
 import io.carawaytrack.routing.PlanRequest
 import io.carawaytrack.routing.PlanStep
 import io.carawaytrack.routing.Planner
+import io.carawaytrack.telemetry.EntryMetrics
 
 private const val PLANS_PER_REQUEST = 3
 
@@ -41,6 +42,7 @@
 
     class Answered(
         override val request: RequestId,
+        val route: String,
         val answer: Answer,
         val finish: Finish,
     ) : Reply
@@ -57,6 +59,7 @@
     private val configuration: () -> Configuration,
     private val wallClockMillis: () -> Long,
     private val nowMillis: () -> Long,
+    private val metrics: EntryMetrics,
     private val rate: RateAnswer,
 ) {
     suspend fun handle(request: CallerRequest): Reply {
@@ -143,7 +146,7 @@
         pinned: Boolean,
         begun: Boolean,
     ): Reply {
-        val finish = Finish(request, ledger, planner, wallClockMillis, nowMillis)
+        val finish = Finish(request, ledger, planner, metrics, wallClockMillis, nowMillis)
         plan.steps.dropLast(1).forEach { step ->
             trial(request, step, pinned, finish)?.let { return it }
         }
@@ -153,7 +156,7 @@
                 planner.observe(request.route.name, last, Observation.Failed)
                 return refused(request, failure, begun)
             }
-        return Reply.Answered(request.id, answer, finish)
+        return Reply.Answered(request.id, request.route.name, answer, finish)
     }
 
     /** Runs a step of a cascade whose answer must be rated; returns null when the next step is to run. */
@@ -169,8 +172,16 @@
                 return null
             }
         val whole = collected(answer).getOrElse { return null }
-        if (taken(request, whole, step.acceptRating ?: 0.0)) return Reply.Answered(request.id, whole, finish)
+        if (taken(
+                request,
+                whole,
+                step.acceptRating ?: 0.0,
+            )
+        ) {
+            return Reply.Answered(request.id, request.route.name, whole, finish)
+        }
         finish.discard(whole)
+        metrics.escalated(request.route.name, step.version)
         return null
     }
 
@@ -181,6 +192,7 @@
     ): Boolean {
         val rating = rate(request.id, answer.version, answer.body) ?: return false
         planner.observe(request.route.name, answer.version, Observation.Rated(rating))
+        metrics.rated(request.route.name, answer.version, rating)
         return rating >= threshold
     }
 
