Name the address whichever way a failed bind is reported

Cause: the engine reports a port in use now as a cancellation, now as a BindException, depending on which of its coroutines ends first; only the first was turned into an error that names the address. Ruled out: accepting either message in the test, which would ease it. Change: both ways give the same IOException.

--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/ObservabilityServer.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/ObservabilityServer.kt
@@ -58,13 +58,22 @@
     server.start(wait = false)
     val connectors = runBlocking { server.engine.resolvedConnectors() }
     connectors.first().port
+} catch (failure: IOException) {
+    throw cannotListen(address, server, failure)
 } catch (failure: CancellationException) {
-    // The engine reports a failed bind as a cancellation, which a coroutine would take for its own.
-    server.stop(0, 0)
-    throw IOException("cannot listen on $address: ${rootOf(failure).message}", failure)
+    // The engine may report a failed bind as a cancellation, which a coroutine would take for its own.
+    throw cannotListen(address, server, failure)
 }
 
-private fun rootOf(failure: Throwable): Throwable = generateSequence(failure) { it.cause }.last()
+private fun cannotListen(
+    address: HostPort,
+    server: EmbeddedServer<*, *>,
+    failure: Exception,
+): IOException {
+    server.stop(0, 0)
+    val cause = generateSequence<Throwable>(failure) { it.cause }.last()
+    return IOException("cannot listen on $address: ${cause.message}", failure)
+}
 
 private class KtorObservabilityServer(
     private val server: EmbeddedServer<*, *>,
