--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Message.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Message.kt
@@ -8,7 +8,6 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -155,8 +154,6 @@
         cbor
             .decodeFromByteArray<Envelope>(payload)
             .takeIf { it.version == MESSAGE_VERSION && it.clusterId == clusterId }
-    } catch (_: SerializationException) {
-        null
     } catch (_: IllegalArgumentException) {
         null
     } catch (_: IndexOutOfBoundsException) {
--- a/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
+++ b/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
@@ -13,7 +13,6 @@
 import com.github.michaelbull.result.onFailure
 import io.carawaytrack.model.NodeId
 import java.io.IOException
-import java.nio.ByteBuffer
 
 private const val IDENTITY_FILE = "identity"
 private const val TERM_FILE = "term"
@@ -306,73 +305,3 @@
 }
 
 private fun segmentName(number: Long) = SEGMENT_PREFIX + number.toString().padStart(SEGMENT_DIGITS, '0')
-
-private fun sealed(content: ByteArray): ByteArray = ByteBuffer
-    .allocate(Long.SIZE_BYTES + content.size)
-    .putLong(checksum(content))
-    .put(content)
-    .array()
-
-private fun unsealed(
-    name: String,
-    sealed: ByteArray,
-): ByteBuffer {
-    val whole = sealed.size >= Long.SIZE_BYTES
-    val offset = Long.SIZE_BYTES
-    if (!whole || ByteBuffer.wrap(sealed).getLong() != checksum(sealed, offset, sealed.size - offset)) {
-        throw CorruptException("expected the checksum of $name to match its ${sealed.size} bytes, found another")
-    }
-    return ByteBuffer.wrap(sealed, offset, sealed.size - offset)
-}
-
-private fun encodeTerm(termVote: TermVote): ByteArray {
-    val vote =
-        termVote.votedFor
-            ?.value
-            .orEmpty()
-            .toByteArray()
-    return ByteBuffer
-        .allocate(Long.SIZE_BYTES + Int.SIZE_BYTES + vote.size)
-        .putLong(termVote.term)
-        .putBytes(vote)
-        .array()
-}
-
-private fun decodeTerm(content: ByteBuffer): TermVote {
-    val term = content.getLong()
-    return TermVote(term, String(content.getBytes()).ifEmpty { null }?.let(::NodeId))
-}
-
-private fun encodeIdentity(identity: FolderIdentity): ByteArray {
-    val cluster = identity.clusterId.toByteArray()
-    val node = identity.node.value.toByteArray()
-    return ByteBuffer
-        .allocate(Long.SIZE_BYTES + Int.SIZE_BYTES * 2 + cluster.size + node.size)
-        .putLong(identity.incarnation)
-        .putBytes(cluster)
-        .putBytes(node)
-        .array()
-}
-
-private fun decodeIdentity(content: ByteBuffer): FolderIdentity {
-    val incarnation = content.getLong()
-    return FolderIdentity(String(content.getBytes()), NodeId(String(content.getBytes())), incarnation)
-}
-
-private fun encodeSnapshot(snapshot: StoredSnapshot): ByteArray = ByteBuffer
-    .allocate((Long.SIZE_BYTES + Int.SIZE_BYTES) * 2 + snapshot.metadata.size + snapshot.state.size)
-    .putLong(snapshot.index)
-    .putLong(snapshot.term)
-    .putBytes(snapshot.metadata)
-    .putBytes(snapshot.state)
-    .array()
-
-private fun decodeSnapshot(content: ByteBuffer): StoredSnapshot {
-    val index = content.getLong()
-    val term = content.getLong()
-    return StoredSnapshot(index, term, content.getBytes(), content.getBytes())
-}
-
-private fun ByteBuffer.putBytes(bytes: ByteArray): ByteBuffer = putInt(bytes.size).put(bytes)
-
-private fun ByteBuffer.getBytes(): ByteArray = ByteArray(getInt()).also { get(it) }
