Send new entries once at the end of a step

Cause: proposals were picked out of a step's inputs so that their entries left in one message, which left a branch that never ran and several places that sent entries.

Ruled out: sending on every append (one message a proposal).

Change: whatever appends in a step only appends; the leader sends what is new at the end of the step.

--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Leader.kt
@@ -24,7 +24,6 @@
     init {
         replication.followMembers()
         append(EntryKind.NO_OPERATION, ByteArray(0))
-        replication.sendAll()
     }
 
     /** Whether an entry of this term is committed, so that the commit index is known to hold all earlier terms'. */
@@ -46,14 +45,14 @@
         return state.members.isQuorum(replication.heard())
     }
 
-    fun onProposals(proposals: List<Input.Propose>) {
-        proposals.forEach { proposal ->
-            val index = append(EntryKind.COMMAND, proposal.command)
-            state.effects.accepted += Accepted(proposal.call, index, state.term)
-        }
-        replication.sendAll()
+    fun onProposal(proposal: Input.Propose) {
+        val index = append(EntryKind.COMMAND, proposal.command)
+        state.effects.accepted += Accepted(proposal.call, index, state.term)
     }
 
+    /** Sends what has been appended since the last call to every member that may be sent more. */
+    fun sendEntries() = replication.sendEntries()
+
     fun onConfirm(call: CallId) {
         waiting += call
         startRound()
@@ -68,7 +67,6 @@
         val index = append(EntryKind.MEMBERS, state.members.apply(change).encode())
         state.effects.accepted += Accepted(call, index, state.term)
         replication.followMembers()
-        replication.sendAll()
     }
 
     fun onReply(
@@ -129,7 +127,6 @@
         val bound = state.members.withIncarnations(heardIncarnations)
         if (bound == state.members) return
         append(EntryKind.MEMBERS, bound.encode())
-        replication.sendAll()
     }
 
     private fun refusalOf(change: MemberChange): Failure? = when {
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftCore.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftCore.kt
@@ -82,17 +82,16 @@
         now: Long,
     ): Effects {
         nowMillis = maxOf(nowMillis, now)
-        val proposals = inputs.filterIsInstance<Input.Propose>()
-        inputs.forEach { if (it !is Input.Propose) handle(it) }
-        if (proposals.isNotEmpty()) propose(proposals)
+        inputs.forEach(::handle)
         if (leader?.removed == true) stepDown()
+        leader?.sendEntries()
         return state.takeEffects()
     }
 
     private fun handle(input: Input) = when (input) {
         is Input.Tick -> onTick()
         is Input.Received -> onReceived(input)
-        is Input.Propose -> propose(listOf(input))
+        is Input.Propose -> leader?.onProposal(input) ?: state.refuse(input.call, notLeader(state))
         is Input.Confirm -> leader?.onConfirm(input.call) ?: state.refuse(input.call, notLeader(state))
         is Input.ChangeMembers ->
             leader?.onChange(input.call, input.change) ?: state.refuse(input.call, notLeader(state))
@@ -100,9 +99,6 @@
         is Input.SnapshotTaken -> state.compact(input.index, input.state)
     }
 
-    private fun propose(proposals: List<Input.Propose>) =
-        leader?.onProposals(proposals) ?: proposals.forEach { state.refuse(it.call, notLeader(state)) }
-
     private fun onPersisted(index: Long) {
         state.onPersisted(index)
         leader?.advance()
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Replication.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Replication.kt
@@ -45,7 +45,7 @@
         others.forEach { node -> peers.getOrPut(node) { Progress(log.lastIndex + 1, nowMillis) } }
     }
 
-    fun sendAll() = peers.forEach { (node, peer) -> sendEntries(node, peer) }
+    fun sendEntries() = peers.forEach { (node, peer) -> sendEntries(node, peer) }
 
     fun sendHeartbeats() = peers.forEach { (node, peer) -> sendHeartbeat(node, peer) }
 
@@ -78,7 +78,6 @@
             is AppendReply -> if (reply.accepted) onAcceptance(peer, reply) else onRejection(peer, reply)
             is SnapshotReply -> onSnapshotReply(from, peer, reply)
         }
-        sendEntries(from, peer)
         return true
     }
 
