Warn of changes that name nothing known or leave a route unserved

Cause: in a run against three control hosts, `zone out zone-9`, `upstream out nonesuch` and `version withdraw nonesuch@1` were accepted without a word, so a slip in a name leaves the zone it meant in service.

Ruled out: a refusal in the client (a zone may be taken out before its first process starts, and a retreat must not wait for a look at the status); a warning before the change (the change is what is urgent).

Parts of the status without rows are left out.

Conclusion: the operator hears of the slip at once.

--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/ChangeCommands.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/ChangeCommands.kt
@@ -65,6 +65,8 @@
  *
  * @property inForce whether every process has it; null when nobody waited for that
  * @property behind processes that did not have it at the last look
+ * @property lastError why the last look at the status failed, null when it did not
+ * @property warnings what the operator may not have meant
  */
 @Serializable
 internal data class ChangeReport(
@@ -74,6 +76,7 @@
     val inForce: Boolean? = null,
     val behind: List<HolderStatus> = emptyList(),
     val lastError: String? = null,
+    val warnings: List<String> = emptyList(),
 )
 
 /** Asks for one change. */
@@ -89,7 +92,9 @@
         val request = request(session).getOrElse { return Err(it) }
         val reply = client.change(request).getOrElse { return Err(it) }
         val accepted = ChangeReport(request.operationId, reply.number, reply.repeated)
-        return Ok(if (options.wait) client.awaitInForce(accepted) else acceptedReport(accepted))
+        val result = if (options.wait) client.awaitInForce(accepted) else accepted
+        if (result.inForce == false) return Ok(notInForceReport(result))
+        return Ok(acceptedReport(result.copy(warnings = client.warningsAbout(request.change))))
     }
 
     private fun request(session: Session): Result<ChangeRequest, CtlError> = change().map { change ->
@@ -102,12 +107,20 @@
 }
 
 private fun acceptedReport(accepted: ChangeReport): Report {
+    val inForce = if (accepted.inForce == true) ", in force everywhere" else ""
     val repeated = if (accepted.repeated) " (accepted before under this operation id)" else ""
-    return Report(accepted, "configuration ${accepted.number}$repeated")
+    val lines = listOf("configuration ${accepted.number}$inForce$repeated") + accepted.warnings.map { "warning: $it" }
+    return Report(accepted, lines.joinToString("\n"))
+}
+
+private fun notInForceReport(accepted: ChangeReport): Report {
+    val reason = accepted.lastError ?: behindText(accepted.behind)
+    val text = "configuration ${accepted.number}, not in force everywhere after $IN_FORCE_BOUND_MILLIS ms; $reason"
+    return Report(accepted, text, ExitCode.NotInForce)
 }
 
 /** Looks at the status until every process has the change, for as long as that may take. */
-private suspend fun AdminClient.awaitInForce(accepted: ChangeReport): Report {
+private suspend fun AdminClient.awaitInForce(accepted: ChangeReport): ChangeReport {
     var last = accepted.copy(inForce = false, lastError = "no status within $IN_FORCE_BOUND_MILLIS ms")
     withTimeoutOrNull(IN_FORCE_BOUND_MILLIS) {
         last = look(last)
@@ -116,12 +129,7 @@
             last = look(last)
         }
     }
-    val number = "configuration ${accepted.number}"
-    if (last.inForce == true) return Report(last, "$number, in force everywhere")
-    val text =
-        "$number, not in force everywhere after $IN_FORCE_BOUND_MILLIS ms; " +
-            (last.lastError ?: behindText(last.behind))
-    return Report(last, text, ExitCode.NotInForce)
+    return last
 }
 
 private suspend fun AdminClient.look(before: ChangeReport): ChangeReport = status().fold(
--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/Views.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/Views.kt
@@ -14,11 +14,12 @@
 import io.carawaytrack.model.VersionState
 import java.time.Instant
 
-/** Renders rows in columns as wide as their widest cell. */
+/** Renders rows in columns as wide as their widest cell; empty when there are none. */
 internal fun columns(
     header: List<String>,
     rows: List<List<String>>,
 ): String {
+    if (rows.isEmpty()) return ""
     val all = listOf(header) + rows
     val widths = header.indices.map { column -> all.maxOf { it[column].length } }
     return all.joinToString("\n") { row ->
@@ -34,15 +35,17 @@
     .joinToString { "${it.node} (${it.zone}) at ${it.configurationNumber}, last heard ${it.ageMillis} ms ago" }
     .ifEmpty { "nobody" }
 
-/** Renders what is in force, where, and what serves. */
-internal fun statusText(status: StatusReport): String = listOf(
+/** Renders what is in force, where, and what serves; parts without rows are left out. */
+internal fun statusText(status: StatusReport): String = paragraphs(
     headText(status),
-    "\n" + controlText(status),
-    "\n" + zonesText(status),
-    "\n" + versionsText(status),
-    "\n" + upstreamsText(status),
-    "\n" + rolloutsText(status.rollouts),
-).joinToString("\n")
+    controlText(status),
+    zonesText(status),
+    versionsText(status),
+    upstreamsText(status),
+    rolloutsText(status.rollouts),
+)
+
+private fun paragraphs(vararg texts: String): String = texts.filter(String::isNotEmpty).joinToString("\n\n")
 
 private fun headText(status: StatusReport): String {
     val behind = status.holders.behind(status.configurationNumber)
@@ -162,16 +165,16 @@
             )
         }
     val header = listOf("REQUEST", "ORGANISATION", "VERSIONS", "PROMPT TOKENS", "ANSWER TOKENS", "COST")
-    return columns(header, rows) + "\n${bills.size} bills, cost ${bills.sumOf { it.cost }}"
+    return paragraphs(columns(header, rows), "bills: ${bills.size}, cost: ${bills.sumOf { it.cost }}")
 }
 
 /** Renders the tables that are in force, row by row. */
-internal fun configurationText(configuration: Configuration): String = listOf(
+internal fun configurationText(configuration: Configuration): String = paragraphs(
     "configuration ${configuration.number}",
-    "\n" + organisationsText(configuration),
-    "\n" + routesText(configuration),
-    "\n" + poolsText(configuration),
-).joinToString("\n")
+    organisationsText(configuration),
+    routesText(configuration),
+    poolsText(configuration),
+)
 
 private fun organisationsText(configuration: Configuration): String = columns(
     listOf("ORGANISATION", "KEYS", "SHARE", "ALLOWS"),
