--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/AdminClient.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/AdminClient.kt
@@ -118,6 +118,9 @@
     /** Control host that answered last and is asked first. */
     private var lastAnswering = settings.addresses.firstOrNull()
 
+    /** Bound on one try, short enough that each host is asked at least once. */
+    private val tryTimeoutMillis = minOf(TRY_TIMEOUT_MILLIS, settings.timeoutMillis / settings.addresses.size)
+
     override suspend fun configuration() = get("/v1/configuration", Configuration.serializer())
 
     override suspend fun change(request: ChangeRequest): Result<ChangeReply, CtlError> {
@@ -160,7 +163,7 @@
     }
 
     private fun unreachable(reasons: Map<HostPort, String>): CtlError.Unreachable {
-        val told = settings.addresses.joinToString("; ") { "$it: ${reasons[it] ?: "no answer"}" }
+        val told = settings.addresses.joinToString("; ") { "$it: ${reasons[it] ?: "not asked"}" }
         return CtlError.Unreachable("no leading control host answered within ${settings.timeoutMillis} ms ($told)")
     }
 
@@ -185,8 +188,8 @@
         answer: DeserializationStrategy<T>,
     ): Try<T> {
         val sent =
-            withTimeoutOrNull(TRY_TIMEOUT_MILLIS) { send(request) }
-                ?: return Try.AskAgain("no answer within $TRY_TIMEOUT_MILLIS ms")
+            withTimeoutOrNull(tryTimeoutMillis) { send(request) }
+                ?: return Try.AskAgain("no answer within $tryTimeoutMillis ms")
         return sent.fold(
             success = { if (it.status in successStatuses) accepted(it, answer) else refused(it) },
             failure = { Try.AskAgain(it.reason) },
--- a/ctl/src/test/kotlin/io/carawaytrack/ctl/CarawayctlTest.kt
+++ b/ctl/src/test/kotlin/io/carawaytrack/ctl/CarawayctlTest.kt
@@ -198,6 +198,13 @@
             }
         }
 
+    @Test
+    fun `a short timeout is divided, so that each host is asked`() = runTest {
+        val control = fakeControl(folder, { awaitCancellation() })
+        expectThat(control.run("status", "--timeout-millis", "1000")).isEqualTo(ExitCode.Unreachable)
+        expectThat(control.requests.map { it.address.port }).containsExactly(1, 2)
+    }
+
     @TestFactory
     fun `a refusal is final and told with its kind`(): List<DynamicTest> = finalKinds.map { kind ->
         dynamicTest(kind.name) {
