--- a/limits/src/test/kotlin/io/carawaytrack/limits/ColdStartRunTest.kt
+++ b/limits/src/test/kotlin/io/carawaytrack/limits/ColdStartRunTest.kt
@@ -40,21 +40,17 @@
         private val running = PriorityQueue<Request>(compareBy { it.endMillis })
         private var nowMillis = 0L
         private var bootMillis = 0L
+        private var begun = 0
+        private val over = IntArray(2)
+        private var fullAfterMillis: Long? = null
         private val permits = slowStart { nowMillis }
         private val warmth get() = ((nowMillis - bootMillis).toDouble() / COLD_MILLIS).coerceAtMost(1.0)
         private val bearing get() = COLD_BEARING + ((WARM_BEARING - COLD_BEARING) * warmth).toInt()
 
-        fun run(): Figures {
-            var begun = 0
-            val over = IntArray(2)
-            var fullAfterMillis: Long? = null
+        fun figures(): Figures {
             while (nowMillis < END_MILLIS) {
                 if (bootMillis == 0L && nowMillis >= RELAPSE_MILLIS) restart()
-                while (running.size < permits.permits) {
-                    if (running.size >= bearing) over[if (bootMillis == 0L) 0 else 1] += 1
-                    begin()
-                    begun += 1
-                }
+                while (running.size < permits.permits) begin()
                 if (running.size >= WARM_BEARING) fullAfterMillis = fullAfterMillis ?: nowMillis
                 val next = running.poll()
                 nowMillis = next.endMillis
@@ -72,6 +68,8 @@
         }
 
         private fun begin() {
+            if (running.size >= bearing) over[if (bootMillis == 0L) 0 else 1] += 1
+            begun += 1
             val tokens = random.nextLong(30, 71)
             val latencyMillis = (tokens * WARM_TOKEN_MILLIS * (COLD_SLOWDOWN - (COLD_SLOWDOWN - 1) * warmth)).toLong()
             running += Request(nowMillis + latencyMillis, latencyMillis, tokens)
@@ -101,7 +99,7 @@
         seed: Long,
         relapse: Relapse,
         slowStart: (() -> Long) -> SlowStart,
-    ) = Run(seed, relapse, slowStart).run().also {
+    ) = Run(seed, relapse, slowStart).figures().also {
         println("start=$name relapse=$relapse seed=$seed $it")
     }
 
