--- a/standins/src/main/kotlin/io/carawaytrack/standins/Main.kt
+++ b/standins/src/main/kotlin/io/carawaytrack/standins/Main.kt
@@ -20,9 +20,12 @@
 /** Starts the stand-in that [args] name. */
 @Suppress("SpreadOperator") // picocli takes its arguments in no other form
 public fun main(args: Array<String>) {
-    exitProcess(CommandLine(StandInCommand()).setCaseInsensitiveEnumValuesAllowed(true).execute(*args))
+    exitProcess(standInCommandLine().execute(*args))
 }
 
+/** Returns the command line with its four subcommands. */
+internal fun standInCommandLine(): CommandLine = CommandLine(StandInCommand())
+
 @Serializable
 private data class Listening(
     val listening: String,
--- a/standins/src/main/kotlin/io/carawaytrack/standins/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/io/carawaytrack/standins/ServiceStandIn.kt
@@ -35,7 +35,7 @@
     /** Answers 503 and does nothing. */
     BeforeRunning,
 
-    /** Does what was asked, then closes the connection before the end of the answer. */
+    /** Does what was asked, then closes the connection without an answer. */
     AfterRunning,
 }
 
