Let control hosts join and leave, and keep servers open while a process drains

Ruled out: member addresses in every host's settings only (a replacement would need a restart of the healthy hosts).

Change: POST /v1/members (add, promote, remove) with the address replicated; Ktor's own shutdown hook is off from the first line of runUntilStopped; the log handle is closed last; control metrics; a setting for the sample share.

Conclusion: partial until carawayctl has the member commands.

--- a/control/src/main/kotlin/io/carawaytrack/control/AdministrationApi.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/AdministrationApi.kt
@@ -8,9 +8,12 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import com.github.michaelbull.result.mapBoth
-import io.carawaytrack.consensus.Replica
+import io.carawaytrack.consensus.GroupReplica
+import io.carawaytrack.consensus.MemberChange
 import io.carawaytrack.model.Bill
 import io.carawaytrack.model.ChangeReply
 import io.carawaytrack.model.ChangeRequest
@@ -21,10 +24,14 @@
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HistoryEntry
 import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.MemberAction
+import io.carawaytrack.model.MemberReply
+import io.carawaytrack.model.MemberRequest
 import io.carawaytrack.model.OrganisationName
 import io.carawaytrack.model.StatusReport
 import io.carawaytrack.model.notRun
 import io.carawaytrack.tables.checkTables
+import io.carawaytrack.telemetry.ControlMetrics
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
@@ -51,10 +58,11 @@
 
 /** Answers operators from the replicated [state]. */
 internal class AdministrationApi(
-    private val replica: Replica,
+    private val replica: GroupReplica,
     private val state: ControlState,
     private val registry: HolderRegistry,
     private val operators: Map<String, String>,
+    private val metrics: ControlMetrics,
     private val wallClockMillis: () -> Long,
 ) {
     fun start(address: HostPort): EmbeddedServer<*, *> =
@@ -66,7 +74,10 @@
             get("/v1/history") { call.read(ListSerializer(HistoryEntry.serializer())) { Ok(history(call)) } }
             get("/v1/status") { call.read(StatusReport.serializer()) { Ok(status()) } }
             get("/v1/bills") { call.read(ListSerializer(Bill.serializer())) { bills(call) } }
-            post("/v1/changes") { call.answer(ChangeReply.serializer()) { operator -> change(call, operator) } }
+            post("/v1/members") { call.answer(MemberReply.serializer()) { members(call) } }
+            post(
+                "/v1/changes",
+            ) { call.answer(ChangeReply.serializer()) { operator -> change(call, operator).also(::count) } }
         }
     }
 
@@ -102,7 +113,7 @@
         call: ApplicationCall,
         operator: String,
     ): Result<ChangeReply, Failure> {
-        val request = call.receiveChange().getOrElse { return Err(it) }
+        val request = call.receive(ChangeRequest.serializer()).getOrElse { return Err(it) }
         checked(request.change).getOrElse { return Err(it) }
         val command = ControlCommand.Change(request.copy(operator = operator), wallClockMillis())
         return replica
@@ -110,10 +121,35 @@
             .andThen { reply -> changed(decodeControlReply(reply)) }
     }
 
+    private fun count(result: Result<ChangeReply, Failure>) {
+        metrics.changeEnded(result.getError()?.kind)
+    }
+
+    private suspend fun members(call: ApplicationCall): Result<MemberReply, Failure> {
+        val request = call.receive(MemberRequest.serializer()).getOrElse { return Err(it) }
+        val change =
+            when (request.action) {
+                MemberAction.Add -> {
+                    makeKnown(request).getOrElse { return Err(it) }
+                    MemberChange.AddLearner(request.node)
+                }
+                MemberAction.Promote -> MemberChange.Promote(request.node)
+                MemberAction.Remove -> MemberChange.Remove(request.node)
+            }
+        return replica.changeMembers(change).map { MemberReply(request.node, request.action) }
+    }
+
+    private suspend fun makeKnown(request: MemberRequest): Result<Unit, Failure> {
+        val address =
+            request.address ?: return Err(ErrorKind.MalformedRequest.notRun("expected the address of ${request.node}"))
+        return replica.propose(ControlCommand.Member(request.node, address).encode()).map { }
+    }
+
     private fun changed(reply: ControlReply): Result<ChangeReply, Failure> = when (reply) {
         is ControlReply.Changed -> Ok(reply.reply)
         is ControlReply.Refused -> Err(reply.failure)
-        is ControlReply.Recorded -> Err(ErrorKind.Internal.notRun("expected the reply to a change"))
+        is ControlReply.Recorded, is ControlReply.MemberKnown ->
+            Err(ErrorKind.Internal.notRun("expected the reply to a change"))
     }
 
     private fun checked(change: ConfigurationChange): Result<Unit, Failure> {
@@ -123,15 +159,15 @@
         return Err(ErrorKind.InvalidTables.notRun(faults.joinToString("\n")))
     }
 
-    private suspend fun ApplicationCall.receiveChange(): Result<ChangeRequest, Failure> {
+    private suspend fun <T> ApplicationCall.receive(serializer: KSerializer<T>): Result<T, Failure> {
         val body = receiveChannel().readRemaining(MAX_BODY_BYTES + 1).readByteArray()
         if (body.size > MAX_BODY_BYTES) {
             return Err(ErrorKind.BodyTooLarge.notRun("expected at most $MAX_BODY_BYTES bytes"))
         }
         return try {
-            Ok(json.decodeFromString(ChangeRequest.serializer(), body.decodeToString()))
+            Ok(json.decodeFromString(serializer, body.decodeToString()))
         } catch (malformed: IllegalArgumentException) {
-            Err(ErrorKind.MalformedRequest.notRun("expected a change as JSON: ${malformed.message}"))
+            Err(ErrorKind.MalformedRequest.notRun("expected a request as JSON: ${malformed.message}"))
         }
     }
 
--- a/control/src/main/kotlin/io/carawaytrack/control/ControlState.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/ControlState.kt
@@ -18,6 +18,8 @@
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HistoryEntry
+import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.notRun
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -41,6 +43,14 @@
         val atMillis: Long,
     ) : ControlCommand
 
+    /** Makes the address of a member known that is not in every host's settings. */
+    @Serializable
+    @SerialName("m")
+    data class Member(
+        val node: NodeId,
+        val address: HostPort,
+    ) : ControlCommand
+
     @Serializable
     @SerialName("l")
     data class Record(
@@ -63,6 +73,10 @@
         val failure: Failure,
     ) : ControlReply
 
+    @Serializable
+    @SerialName("m")
+    data object MemberKnown : ControlReply
+
     @Serializable
     @SerialName("l")
     data class Recorded(
@@ -84,6 +98,7 @@
     val history: List<HistoryEntry>,
     val operations: List<OperationRecord>,
     val ledger: LedgerSnapshot,
+    val members: Map<NodeId, HostPort> = emptyMap(),
 )
 
 private val controlCbor = Cbor { ignoreUnknownKeys = true }
@@ -92,9 +107,13 @@
 
 internal fun decodeControlReply(bytes: ByteArray): ControlReply = controlCbor.decodeFromByteArray(bytes)
 
-/** The replicated state of a control host; [onConfiguration] hears of every configuration that comes into force. */
+/**
+ * The replicated state of a control host. [onConfiguration] hears of every configuration that comes into force, and
+ * [onMembers] of the addresses of members that have joined.
+ */
 internal class ControlState(
     private val onConfiguration: (Configuration) -> Unit = {},
+    private val onMembers: (Map<NodeId, HostPort>) -> Unit = {},
 ) : StateMachine {
     val ledger: Ledger = Ledger()
 
@@ -107,6 +126,10 @@
     var configuration: Configuration = Configuration()
         private set
 
+    @Volatile
+    var memberAddresses: Map<NodeId, HostPort> = emptyMap()
+        private set
+
     fun historyFrom(number: Long): List<HistoryEntry> = lock.withLock { history.filter { it.number >= number } }
 
     override fun apply(
@@ -117,10 +140,17 @@
             when (val decoded = controlCbor.decodeFromByteArray<ControlCommand>(command)) {
                 is ControlCommand.Change -> change(decoded)
                 is ControlCommand.Record -> record(decoded.command)
+                is ControlCommand.Member -> member(decoded)
             }
         return controlCbor.encodeToByteArray(reply)
     }
 
+    private fun member(command: ControlCommand.Member): ControlReply {
+        memberAddresses = memberAddresses + (command.node to command.address)
+        onMembers(memberAddresses)
+        return ControlReply.MemberKnown
+    }
+
     private fun record(command: LedgerCommand): ControlReply {
         val inForce = configuration
         return ControlReply.Recorded(ledger.apply(command, inForce::stateOf))
@@ -182,6 +212,7 @@
                 history = history.toList(),
                 operations = operations.map { (id, reply) -> OperationRecord(id, reply) },
                 ledger = ledger.snapshot(),
+                members = memberAddresses,
             ),
         )
     }
@@ -197,7 +228,9 @@
             restored.operations.forEach { operations[it.operationId] = it.reply }
             ledger.restore(restored.ledger)
             configuration = restored.configuration
+            memberAddresses = restored.members
         }
         onConfiguration(configuration)
+        onMembers(memberAddresses)
     }
 }
--- a/control/src/main/kotlin/io/carawaytrack/control/HolderService.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/HolderService.kt
@@ -15,6 +15,7 @@
 import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.NodeRole
 import io.carawaytrack.model.SuspectReport
+import io.carawaytrack.telemetry.ControlMetrics
 import io.carawaytrack.wire.ConfigurationPush
 import io.carawaytrack.wire.Heartbeat
 import io.carawaytrack.wire.LeaseGrant
@@ -35,7 +36,8 @@
     private val replica: Replica,
     private val state: ControlState,
     private val registry: HolderRegistry,
-    private val members: Map<NodeId, HostPort>,
+    private val members: () -> Map<NodeId, HostPort>,
+    private val metrics: ControlMetrics,
 ) {
     private val links = ConcurrentHashMap<Link, HolderLink>()
 
@@ -80,6 +82,7 @@
         }
         registry.lead(leading = true)
         registry.heard(link.peer, heartbeat)
+        metrics.heartbeat(link.peer.role)
         link.send(grant(link, heartbeat))
     }
 
@@ -126,7 +129,7 @@
         return (decoded as? ControlReply.Recorded)?.reply?.encode()
     }
 
-    private fun leaderAddress(): HostPort? = replica.status().leader?.let(members::get)
+    private fun leaderAddress(): HostPort? = replica.status().leader?.let(members()::get)
 }
 
 /** What this host has told the holder at the other end of a link. */
--- a/control/src/main/kotlin/io/carawaytrack/control/Peers.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/Peers.kt
@@ -12,6 +12,7 @@
 import io.carawaytrack.wire.LogMessage
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -23,12 +24,17 @@
 
 internal class Peers(
     private val hub: LinkHub,
-    private val others: Map<NodeId, HostPort>,
+    private val scope: CoroutineScope,
+    private val self: NodeId,
 ) {
     private val links = ConcurrentHashMap<NodeId, Link>()
+    private val dialling = ConcurrentHashMap<NodeId, Job>()
 
-    fun start(scope: CoroutineScope) {
-        others.forEach { (node, address) -> scope.launch { stayConnected(node, address) } }
+    /** Keeps links to the other hosts of [members], also to those that were not known before. */
+    fun reach(members: Map<NodeId, HostPort>) {
+        members.filterKeys { it != self }.forEach { (node, address) ->
+            dialling.computeIfAbsent(node) { scope.launch { stayConnected(node, address) } }
+        }
     }
 
     fun send(
--- a/ledger/src/main/kotlin/io/carawaytrack/ledger/Ledger.kt
+++ b/ledger/src/main/kotlin/io/carawaytrack/ledger/Ledger.kt
@@ -43,6 +43,14 @@
     val requests: Int,
     val sessions: Int,
     val bills: Int,
+    val openRequests: Int = 0,
+)
+
+private operator fun LedgerSize.plus(other: LedgerSize) = LedgerSize(
+    requests = requests + other.requests,
+    sessions = sessions + other.sessions,
+    bills = bills + other.bills,
+    openRequests = openRequests + other.openRequests,
 )
 
 /** Records one request. */
@@ -104,9 +112,7 @@
 
     override fun size(): LedgerSize = shards
         .map(LedgerShard::size)
-        .fold(LedgerSize(0, 0, 0)) { sum, shard ->
-            LedgerSize(sum.requests + shard.requests, sum.sessions + shard.sessions, sum.bills + shard.bills)
-        }
+        .fold(LedgerSize(0, 0, 0), LedgerSize::plus)
 
     override fun snapshot(): LedgerSnapshot = LedgerSnapshot(shards.flatMap(LedgerShard::records))
 
@@ -137,6 +143,7 @@
             held.sumOf(OrganisationLedger::requestCount),
             held.sumOf(OrganisationLedger::sessionCount),
             held.sumOf(OrganisationLedger::billCount),
+            held.sumOf(OrganisationLedger::openCount),
         )
     }
 
--- a/ledger/src/main/kotlin/io/carawaytrack/ledger/OrganisationLedger.kt
+++ b/ledger/src/main/kotlin/io/carawaytrack/ledger/OrganisationLedger.kt
@@ -19,6 +19,7 @@
     val requestCount: Int get() = requests.size
     val sessionCount: Int get() = sessions.size
     val billCount: Int get() = bills.size
+    val openCount: Int get() = requests.values.count { !it.finished }
 
     fun bills(): List<Bill> = bills.values.map(BillRecord::bill)
 
--- a/model/src/main/kotlin/io/carawaytrack/model/Administration.kt
+++ b/model/src/main/kotlin/io/carawaytrack/model/Administration.kt
@@ -146,3 +146,35 @@
     val answerTokens: Long,
     val cost: Double,
 )
+
+/** Says what is to be done with a member of the control group. */
+@Serializable
+public enum class MemberAction {
+    /** Adds a new host as a learner, which receives the log and does not vote. */
+    Add,
+
+    /** Makes a learner that has caught up a voter. */
+    Promote,
+
+    /** Removes a host. */
+    Remove,
+}
+
+/**
+ * Asks for one change of the control group.
+ *
+ * @property address link address of a host to be added
+ */
+@Serializable
+public data class MemberRequest(
+    val action: MemberAction,
+    val node: NodeId,
+    val address: HostPort? = null,
+)
+
+/** Confirms a change of the control group. */
+@Serializable
+public data class MemberReply(
+    val node: NodeId,
+    val action: MemberAction,
+)
--- a/process/src/main/kotlin/io/carawaytrack/process/GracefulStop.kt
+++ b/process/src/main/kotlin/io/carawaytrack/process/GracefulStop.kt
@@ -10,6 +10,8 @@
 
 /** Runs [serve] until it returns; it is handed a function that waits for the signal to stop. */
 public fun runUntilStopped(serve: suspend (awaitStop: suspend () -> Unit) -> Unit) {
+    // Ktor would close every server at the signal, while the process still answers what is open.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val stop = CompletableDeferred<Unit>()
     val done = CountDownLatch(1)
     val hook =
--- a/process/src/main/kotlin/io/carawaytrack/process/ProcessSettings.kt
+++ b/process/src/main/kotlin/io/carawaytrack/process/ProcessSettings.kt
@@ -22,6 +22,7 @@
 public const val SETTINGS_EXIT_CODE: Int = 2
 
 private const val SHORTEST_SECRET_BYTES = 16
+private const val WHOLE_PERCENT = 100
 private const val DEFAULT_DRAIN_MILLIS = 30_000L
 private const val LONGEST_DRAIN_MILLIS = 3_600_000L
 
@@ -31,6 +32,7 @@
  * @property secretFile file with the secret that all processes of the deployment share
  * @property observability address of health checks and metrics
  * @property spansFile file for spans as JSON lines; null writes none
+ * @property traceSampleRatio share of new traces that are recorded, 0 to 1
  * @property drainMillis bound on a graceful shutdown
  */
 public data class ProcessSettings(
@@ -40,6 +42,7 @@
     val observability: HostPort,
     val logLevel: String,
     val spansFile: Path?,
+    val traceSampleRatio: Double,
     val drainMillis: Long,
 ) {
     /** Returns how the process presents itself to its peers. */
@@ -63,6 +66,7 @@
     observability = address("observability_address"),
     logLevel = choice("log_level", setOf("debug", "info", "warn", "error"), "info"),
     spansFile = optionalText("spans_file")?.let(Path::of),
+    traceSampleRatio = int("trace_sample_percent", 0..WHOLE_PERCENT, WHOLE_PERCENT) / WHOLE_PERCENT.toDouble(),
     drainMillis = long("drain_millis", 0..LONGEST_DRAIN_MILLIS, DEFAULT_DRAIN_MILLIS),
 )
 
--- a/process/src/main/kotlin/io/carawaytrack/process/ProcessTelemetry.kt
+++ b/process/src/main/kotlin/io/carawaytrack/process/ProcessTelemetry.kt
@@ -10,9 +10,20 @@
 import io.carawaytrack.telemetry.installJsonLogs
 import io.github.oshai.kotlinlogging.Level
 
-/** Installs JSON-line logs and returns the process's metrics and spans. */
+/** Installs JSON-line logs and returns the process's metrics and spans; closing it writes the last log lines too. */
 public fun ProcessSettings.openTelemetry(role: NodeRole): Telemetry {
-    installJsonLogs(node, role, zone, Level.valueOf(logLevel.uppercase()))
+    val logs = installJsonLogs(node, role, zone, Level.valueOf(logLevel.uppercase()))
     val spans = spansFile?.let(SpanOutput::JsonLines) ?: SpanOutput.None
-    return Telemetry(node, role, zone, TelemetrySettings(spans = spans))
+    val telemetry = Telemetry(node, role, zone, TelemetrySettings(spans, traceSampleRatio))
+    return TelemetryWithLogs(telemetry, logs)
+}
+
+private class TelemetryWithLogs(
+    private val telemetry: Telemetry,
+    private val logs: AutoCloseable,
+) : Telemetry by telemetry {
+    override fun close() {
+        telemetry.close()
+        logs.close()
+    }
 }
