Drop damaged messages before they are decoded

Cause: the CBOR decoder throws IllegalStateException for a message that is cut short, which the codec did not expect; the exception would have halted the replica that received it, against the contract of receive().

Ruled out: only catching more exceptions (a message damaged in a number still decodes and says something that nobody sent).

Change: every message begins with a checksum of its content; what does not match is dropped unread, and the decoder's three kinds of exception are taken for a message of another version.

--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Message.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Message.kt
@@ -1,18 +1,21 @@
 /*
- * The messages between the replicas of a group, as CBOR. Every message stays under half a mebibyte: batches of entries
- * are cut by size and snapshots travel in chunks.
+ * The messages between the replicas of a group, as CBOR after a checksum. Every message stays under half a mebibyte:
+ * batches of entries are cut by size and snapshots travel in chunks.
  */
 package io.carawaytrack.consensus
 
 import io.carawaytrack.storage.LogEntry
+import io.carawaytrack.storage.checksum
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import java.nio.ByteBuffer
 
 private const val MESSAGE_VERSION = 1
+private const val CHECKSUM_BYTES = Long.SIZE_BYTES
 
 /** Wraps a message with what tells a stranger apart: another version, another cluster, another data folder. */
 @Serializable
@@ -146,16 +149,34 @@
 ) {
     private val cbor = Cbor { alwaysUseByteString = true }
 
-    fun encode(message: Message): ByteArray =
-        cbor.encodeToByteArray(Envelope(clusterId = clusterId, incarnation = incarnation, message = message))
+    fun encode(message: Message): ByteArray {
+        val envelope = Envelope(clusterId = clusterId, incarnation = incarnation, message = message)
+        val content = cbor.encodeToByteArray(envelope)
+        return ByteBuffer
+            .allocate(CHECKSUM_BYTES + content.size)
+            .putLong(checksum(content))
+            .put(content)
+            .array()
+    }
+
+    /** Returns the envelope in [payload], or null when it is damaged or from another version or cluster. */
+    fun decode(payload: ByteArray): Envelope? {
+        val contentBytes = payload.size - CHECKSUM_BYTES
+        val whole = contentBytes > 0 && ByteBuffer.wrap(payload).getLong() == checksumOfContent(payload)
+        if (!whole) return null
+        return read(payload.copyOfRange(CHECKSUM_BYTES, payload.size))
+            ?.takeIf { it.version == MESSAGE_VERSION && it.clusterId == clusterId }
+    }
 
-    /** Returns the envelope in [payload], or null when it is malformed or from another version or cluster. */
-    fun decode(payload: ByteArray): Envelope? = try {
-        cbor
-            .decodeFromByteArray<Envelope>(payload)
-            .takeIf { it.version == MESSAGE_VERSION && it.clusterId == clusterId }
+    private fun checksumOfContent(payload: ByteArray) = checksum(payload, CHECKSUM_BYTES, payload.size - CHECKSUM_BYTES)
+
+    /** Returns null for content that another version may have written; the codec throws one of these for it. */
+    private fun read(content: ByteArray): Envelope? = try {
+        cbor.decodeFromByteArray<Envelope>(content)
     } catch (_: IllegalArgumentException) {
         null
+    } catch (_: IllegalStateException) {
+        null
     } catch (_: IndexOutOfBoundsException) {
         null
     }
