--- /dev/null
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/RouteChecks.kt
@@ -0,0 +1,183 @@
+/*
+ * What routes must fulfil, by themselves and joined to organisations and pools.
+ */
+package io.carawaytrack.tables
+
+import io.carawaytrack.model.Organisation
+import io.carawaytrack.model.PoolMember
+import io.carawaytrack.model.Route
+import io.carawaytrack.model.ServiceKind
+import io.carawaytrack.model.Tables
+
+/** Stands for every organisation in a route. */
+private const val ALL_ORGANISATIONS = "*"
+
+private const val HIGHEST_TIMEOUT_MILLIS = 3_600_000L
+
+private val timeoutsMillis = 1L..HIGHEST_TIMEOUT_MILLIS
+private val methodNames = setOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+/** Returns every fault of the routes of [tables]. */
+internal fun checkRoutes(tables: Tables): List<Fault> {
+    val faults = FaultList(ROUTES_TABLE)
+    faults.checkDistinct(tables.routes.map(Route::name)) { "route[$it].name" }
+    tables.routes.forEachIndexed { index, route ->
+        val row = "route[$index]"
+        faults.checkRoute(row, route)
+        faults.checkJoin(row, route, tables)
+        faults.checkUnambiguous(row, route, tables.routes.take(index))
+    }
+    return faults.found
+}
+
+private fun FaultList.checkRoute(
+    row: String,
+    route: Route,
+) {
+    checkName("$row.name", route.name)
+    checkMethods(row, route)
+    if (!route.pathPrefix.startsWith("/")) add("$row.path_prefix", route.pathPrefix, "a path that starts with /")
+    checkModel("$row.model", route)
+    checkNotEmpty("$row.organisations", route.organisations)
+    checkDistinct(route.organisations) { "$row.organisations[$it]" }
+    checkRange("$row.quality_target", route.qualityTarget, qualities)
+    checkRange("$row.timeout_millis", route.timeoutMillis, timeoutsMillis)
+}
+
+private fun FaultList.checkMethods(
+    row: String,
+    route: Route,
+) {
+    checkNotEmpty("$row.methods", route.methods)
+    route.methods.forEachIndexed { n, method ->
+        if (method !in methodNames) add("$row.methods[$n]", method, "one of ${methodNames.joinToString()}")
+    }
+    route.repeatableMethods.forEachIndexed { n, method ->
+        if (method !in route.methods) add("$row.repeatable_methods[$n]", method, "a method of the route")
+    }
+}
+
+private fun FaultList.checkModel(
+    key: String,
+    route: Route,
+) {
+    val model = route.model
+    when {
+        route.kind == ServiceKind.Service && model != null ->
+            add(
+                key,
+                model,
+                "no model, as the route is of kind service",
+            )
+        route.kind == ServiceKind.Model && model == null -> add(key, null, "the model that callers name")
+        model != null -> checkName(key, model)
+    }
+}
+
+private fun FaultList.checkJoin(
+    row: String,
+    route: Route,
+    tables: Tables,
+) {
+    val names = tables.organisations.map { it.name.value }
+    route.organisations.forEachIndexed { n, name ->
+        val isAll = name == ALL_ORGANISATIONS && route.organisations.size == 1
+        if (!isAll &&
+            name !in names
+        ) {
+            add("$row.organisations[$n]", name, "the name of an organisation, or * alone for all")
+        }
+    }
+    val pool = tables.pools.firstOrNull { it.name == route.pool }
+    if (pool == null) {
+        add("$row.pool", route.pool, "the name of a pool")
+        return
+    }
+    if (pool.kind != route.kind) {
+        add("$row.pool", route.pool, "a pool of kind ${route.kind.word()}")
+        return
+    }
+    val members = tables.membersOf(route.pool)
+    if (members.isEmpty()) return
+    checkAllowances(row, route, tables.organisations, members)
+    checkTarget(row, route, tables.organisations, members)
+}
+
+/** Reports each listed organisation that allows none of [usable], and `*` when no organisation does. */
+internal fun FaultList.checkAllowances(
+    row: String,
+    route: Route,
+    organisations: List<Organisation>,
+    usable: List<PoolMember>,
+) {
+    val versions = usable.map { it.version.toString() }.ifEmpty { listOf("(no version is serving)") }
+    val expected = "an organisation that allows one of: ${versions.joinToString()}"
+    forEachListed(row, route, organisations) { key, name, listed ->
+        if (listed.none { it.allowsAny(usable) }) add(key, name, expected)
+    }
+}
+
+/** Reports a target that no member meets, or that none meets which a listed organisation allows. */
+private fun FaultList.checkTarget(
+    row: String,
+    route: Route,
+    organisations: List<Organisation>,
+    members: List<PoolMember>,
+) {
+    val target = route.qualityTarget
+    if (target !in qualities || target == 0.0) return
+    if (route.kind == ServiceKind.Service) {
+        add("$row.quality_target", target, "0, because answers of plain services are not rated")
+        return
+    }
+    val able = members.filter { it.expectedQuality >= target }
+    if (able.isEmpty()) {
+        val best = members.maxOf(PoolMember::expectedQuality)
+        add("$row.quality_target", target, "at most $best, the best expected quality in pool ${route.pool}")
+        return
+    }
+    val expected = "an organisation that allows a version of expected quality $target or more"
+    forEachListed(row, route, organisations) { key, name, listed ->
+        val mayRun = listed.any { it.allowsAny(members) }
+        if (mayRun && listed.none { it.allowsAny(able) }) add(key, name, expected)
+    }
+}
+
+/** Calls [check] for each name that [route] lists with the known organisations it stands for. */
+private fun forEachListed(
+    row: String,
+    route: Route,
+    organisations: List<Organisation>,
+    check: (key: String, name: String, listed: List<Organisation>) -> Unit,
+) {
+    route.organisations.forEachIndexed { n, name ->
+        val listed = organisations.filter { name == ALL_ORGANISATIONS || name == it.name.value }
+        if (listed.isNotEmpty() || name == ALL_ORGANISATIONS) check("$row.organisations[$n]", name, listed)
+    }
+}
+
+private fun Organisation.allowsAny(members: List<PoolMember>): Boolean = members.any { allows(it.version) }
+
+/** Reports a route that takes requests which one of [earlier] takes already. */
+private fun FaultList.checkUnambiguous(
+    row: String,
+    route: Route,
+    earlier: List<Route>,
+) {
+    val rival = earlier.firstOrNull { it.takesSameAs(route) } ?: return
+    add(
+        "$row.path_prefix",
+        route.pathPrefix,
+        "a method, path, model or organisation that route ${rival.name} does not take",
+    )
+}
+
+private fun Route.takesSameAs(other: Route): Boolean =
+    pathPrefix == other.pathPrefix && model == other.model && sharesMethod(other) && sharesOrganisation(other)
+
+private fun Route.sharesMethod(other: Route): Boolean = methods.any(other.methods::contains)
+
+private fun Route.sharesOrganisation(other: Route): Boolean {
+    val all = ALL_ORGANISATIONS in organisations || ALL_ORGANISATIONS in other.organisations
+    return all || organisations.any(other.organisations::contains)
+}
