--- a/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
+++ b/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
@@ -13,7 +13,6 @@
 import com.github.michaelbull.result.onFailure
 import io.carawaytrack.model.NodeId
 import java.io.IOException
-import java.nio.ByteBuffer
 
 private const val IDENTITY_FILE = "identity"
 private const val TERM_FILE = "term"
@@ -59,11 +58,14 @@
     public val entries: List<LogEntry>,
 )
 
+/** Holds an opened store and what its folder held. */
+public class OpenedLog(
+    public val store: LogStore,
+    public val recovered: RecoveredState,
+)
+
 /** Makes the state of one replica durable; what a successful call was given survives a crash after its return. */
 public interface LogStore : AutoCloseable {
-    /** What the folder held when it was opened. */
-    public val recovered: RecoveredState
-
     /** Appends [entries] with one sync; an index that the log already holds drops that entry and all after it. */
     public fun append(entries: List<LogEntry>): Result<Unit, StorageFailure>
 
@@ -106,7 +108,7 @@
     clusterId: String,
     node: NodeId,
     segmentBytes: Int = DEFAULT_SEGMENT_BYTES,
-): Result<LogStore, StorageFailure> = onDisk {
+): Result<OpenedLog, StorageFailure> = onDisk {
     readIdentity(disk, clusterId, node).andThen { identity -> Ok(openStore(disk, identity, segmentBytes)) }
 }
 
@@ -144,16 +146,16 @@
     disk: Disk,
     identity: FolderIdentity,
     segmentBytes: Int,
-): LogStore {
+): OpenedLog {
     val snapshot = disk.read(SNAPSHOT_FILE)?.let { decodeSnapshot(unsealed(SNAPSHOT_FILE, it)) }
     val termFile = disk.read(TERM_FILE) ?: throw CorruptException("expected the file $TERM_FILE, found none")
     val log = readLog(disk)
     val entries = entriesAfter(snapshot, log.entries)
     val recovered =
         RecoveredState(identity, decodeTerm(unsealed(TERM_FILE, termFile)), snapshot, entries.orEmpty())
-    val store = SegmentedLogStore(disk, recovered, log.segments, segmentBytes)
+    val store = SegmentedLogStore(disk, log.segments, segmentBytes)
     if (entries == null && snapshot != null) store.dropLog(snapshot)
-    return store
+    return OpenedLog(store, recovered)
 }
 
 /** Returns the entries that follow [snapshot], or null when the snapshot replaces the whole log. */
@@ -232,7 +234,6 @@
 
 private class SegmentedLogStore(
     private val disk: Disk,
-    override val recovered: RecoveredState,
     segments: List<Segment>,
     private val segmentBytes: Int,
 ) : LogStore {
@@ -304,73 +305,3 @@
 }
 
 private fun segmentName(number: Long) = SEGMENT_PREFIX + number.toString().padStart(SEGMENT_DIGITS, '0')
-
-private fun sealed(content: ByteArray): ByteArray = ByteBuffer
-    .allocate(Long.SIZE_BYTES + content.size)
-    .putLong(checksum(content))
-    .put(content)
-    .array()
-
-private fun unsealed(
-    name: String,
-    sealed: ByteArray,
-): ByteBuffer {
-    val whole = sealed.size >= Long.SIZE_BYTES
-    val offset = Long.SIZE_BYTES
-    if (!whole || ByteBuffer.wrap(sealed).getLong() != checksum(sealed, offset, sealed.size - offset)) {
-        throw CorruptException("expected the checksum of $name to match its ${sealed.size} bytes, found another")
-    }
-    return ByteBuffer.wrap(sealed, offset, sealed.size - offset)
-}
-
-private fun encodeTerm(termVote: TermVote): ByteArray {
-    val vote =
-        termVote.votedFor
-            ?.value
-            .orEmpty()
-            .toByteArray()
-    return ByteBuffer
-        .allocate(Long.SIZE_BYTES + Int.SIZE_BYTES + vote.size)
-        .putLong(termVote.term)
-        .putBytes(vote)
-        .array()
-}
-
-private fun decodeTerm(content: ByteBuffer): TermVote {
-    val term = content.getLong()
-    return TermVote(term, String(content.getBytes()).ifEmpty { null }?.let(::NodeId))
-}
-
-private fun encodeIdentity(identity: FolderIdentity): ByteArray {
-    val cluster = identity.clusterId.toByteArray()
-    val node = identity.node.value.toByteArray()
-    return ByteBuffer
-        .allocate(Long.SIZE_BYTES + Int.SIZE_BYTES * 2 + cluster.size + node.size)
-        .putLong(identity.incarnation)
-        .putBytes(cluster)
-        .putBytes(node)
-        .array()
-}
-
-private fun decodeIdentity(content: ByteBuffer): FolderIdentity {
-    val incarnation = content.getLong()
-    return FolderIdentity(String(content.getBytes()), NodeId(String(content.getBytes())), incarnation)
-}
-
-private fun encodeSnapshot(snapshot: StoredSnapshot): ByteArray = ByteBuffer
-    .allocate((Long.SIZE_BYTES + Int.SIZE_BYTES) * 2 + snapshot.metadata.size + snapshot.state.size)
-    .putLong(snapshot.index)
-    .putLong(snapshot.term)
-    .putBytes(snapshot.metadata)
-    .putBytes(snapshot.state)
-    .array()
-
-private fun decodeSnapshot(content: ByteBuffer): StoredSnapshot {
-    val index = content.getLong()
-    val term = content.getLong()
-    return StoredSnapshot(index, term, content.getBytes(), content.getBytes())
-}
-
-private fun ByteBuffer.putBytes(bytes: ByteArray): ByteBuffer = putInt(bytes.size).put(bytes)
-
-private fun ByteBuffer.getBytes(): ByteArray = ByteArray(getInt()).also { get(it) }
