Judge the latest periods too, rate what a roll-out brings in, and spill over by load

Cause: a version that turned bad within a stage hid behind its earlier good ratings, and ratings came for 30 % of its answers after 20 s on average; a busy local upstream was taken before an idle one elsewhere; an upstream that failed was tried again and again.

Change: the judge tests every stretch that ends now, sharing the error between them, with the old version's scatter as the usual one; PlanStep.rateAnswer asks for a rating of each answer of a version under roll-out (an interface change: the entry asks the rating service without waiting for it). The chooser compares outstanding tokens per permit with a handicap for other zones, leaves an upstream alone after three failures in a row, and gives a returning upstream its permits back over 20 s. The replay's roll-outs start from 0 % and not from a version that already shares the pool.

--- a/replay/src/main/kotlin/io/carawaytrack/replay/Deployments.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/Deployments.kt
@@ -10,6 +10,8 @@
 import io.carawaytrack.model.Pool
 import io.carawaytrack.model.PoolMember
 import io.carawaytrack.model.PoolName
+import io.carawaytrack.model.Rollout
+import io.carawaytrack.model.RolloutPhase
 import io.carawaytrack.model.Route
 import io.carawaytrack.model.ServiceKind
 import io.carawaytrack.model.Tables
@@ -63,8 +65,20 @@
     val rolloutFrom: ModelVersion,
     val rolloutTo: ModelVersion,
 ) {
+    /** Configuration at the start: the new version stands in its pool, and its roll-out has not begun. */
     val configuration: Configuration
-        get() = Configuration(number = 1, tables = Tables(organisations, traffic.map { it.route }, pools))
+        get() =
+            Configuration(
+                number = 1,
+                tables = Tables(organisations, traffic.map { it.route }, pools),
+                rollouts = listOf(rollout),
+            )
+
+    val rollout: Rollout
+        get() {
+            val pool = pools.first { pool -> pool.members.any { it.version == rolloutTo } }
+            return Rollout("next", pool.name, rolloutFrom, rolloutTo, percent = 0, RolloutPhase.Paused)
+        }
 
     fun routeNamed(name: String): Route = traffic.first { it.route.name == name }.route
 }
--- a/replay/src/main/kotlin/io/carawaytrack/replay/EntryModel.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/EntryModel.kt
@@ -286,7 +286,8 @@
             val rated = version
             val rating = world.rating(request, rated)
             val escalated = step > 0
-            world.lateRatingMillis(request)?.let { lateMillis ->
+            val ratedAfterMillis = if (plan.steps[step].rateAnswer) RATING_MILLIS else world.lateRatingMillis(request)
+            ratedAfterMillis?.let { lateMillis ->
                 events.after(lateMillis) { observe(request, rated, Observation.Rated(rating, escalated)) }
             }
         }
--- a/replay/src/main/kotlin/io/carawaytrack/replay/Policies.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/Policies.kt
@@ -16,6 +16,7 @@
 import io.carawaytrack.model.ZoneName
 import io.carawaytrack.model.notRun
 import io.carawaytrack.routing.ChoiceRequest
+import io.carawaytrack.routing.ChooserSettings
 import io.carawaytrack.routing.Plan
 import io.carawaytrack.routing.PlanRequest
 import io.carawaytrack.routing.Planner
@@ -46,6 +47,9 @@
         cascades = false,
     )
 
+/** Leaves the entry's own zone only when nothing there has room, as the chooser first did. */
+private val localFirstSettings = ChooserSettings(remoteTokensPerPermit = 1e12)
+
 internal val currentPolicy = Policy("current", currentPlanner, currentChooser)
 
 internal val policies: List<Policy> =
@@ -55,6 +59,11 @@
         Policy("thin", { thinPlanner(it) }, currentChooser),
         Policy("strongest", { thinPlanner(it, UNREACHABLE_TARGET) }, currentChooser),
         Policy("cheapest", { thinPlanner(it, target = 0.0) }, currentChooser),
+        Policy(
+            name = "local-first",
+            planner = currentPlanner,
+            chooser = { zone, nowMillis, random -> UpstreamChooser(zone, nowMillis, random, localFirstSettings) },
+        ),
         Policy(
             name = "round-robin",
             planner = currentPlanner,
--- a/replay/src/main/kotlin/io/carawaytrack/replay/RolloutDriver.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/RolloutDriver.kt
@@ -15,14 +15,15 @@
 import io.carawaytrack.routing.RolloutVerdict
 import io.carawaytrack.routing.VersionTally
 
-/** Decides on a roll-out from the evidence of its stage and the age of the stage in milliseconds. */
-internal typealias RolloutRule = (RolloutEvidence, Double) -> RolloutVerdict
+/** Decides on a roll-out from the evidence of each period of its stage and the age of the stage in milliseconds. */
+internal typealias RolloutRule = (List<RolloutEvidence>, Double) -> RolloutVerdict
 
 /** Judges after every second by the sequential test. */
-internal val sequentialRule: RolloutRule = RolloutJudge().let { judge -> { evidence, _ -> judge.judge(evidence) } }
+internal val sequentialRule: RolloutRule = RolloutJudge().let { judge -> { periods, _ -> judge.judge(periods) } }
 
 /** Judges once, five minutes after a stage began, by the means. */
-internal val fixedWindowRule: RolloutRule = { evidence, ageMillis ->
+internal val fixedWindowRule: RolloutRule = { periods, ageMillis ->
+    val evidence = periods.fold(RolloutEvidence()) { sum, period -> sum + period }
     when {
         ageMillis < FIXED_WINDOW_MILLIS -> RolloutVerdict.Continue
         meanRating(evidence.to) < meanRating(evidence.from) - FIXED_WINDOW_LOSS -> RolloutVerdict.RollBack
@@ -36,7 +37,8 @@
     private val rule: RolloutRule,
 ) {
     private val events = world.events
-    private var evidence = RolloutEvidence()
+    private val periods = ArrayDeque<RolloutEvidence>()
+    private var periodAtMillis = 0.0
     private var rollout: Rollout? = null
     private var stagePercent = 0
     private var stageAtMillis = 0.0
@@ -45,12 +47,7 @@
         percent: Int,
         untilMillis: Double,
     ) {
-        val pool =
-            world.spec.pools
-                .first { pool -> pool.members.any { it.version == world.spec.rolloutTo } }
-        val first =
-            Rollout("next", pool.name, world.spec.rolloutFrom, world.spec.rolloutTo, percent, RolloutPhase.Running)
-        enter(first)
+        enter(world.spec.rollout.copy(percent = percent, phase = RolloutPhase.Running))
         events.every(JUDGE_MILLIS, untilMillis) { judge() }
     }
 
@@ -59,16 +56,20 @@
         observation: Observation,
     ) {
         val running = rollout ?: return
-        when (version) {
-            running.from -> evidence = evidence.copy(from = evidence.from.plus(observation, SLOW_MILLIS_PER_TOKEN))
-            running.to -> evidence = evidence.copy(to = evidence.to.plus(observation, SLOW_MILLIS_PER_TOKEN))
-        }
+        val period = periods.last()
+        periods[periods.lastIndex] =
+            when (version) {
+                running.from -> period.copy(from = period.from.plus(observation, SLOW_MILLIS_PER_TOKEN))
+                running.to -> period.copy(to = period.to.plus(observation, SLOW_MILLIS_PER_TOKEN))
+                else -> period
+            }
     }
 
     private fun judge() {
         val current = rollout ?: return
         if (current.phase == RolloutPhase.RolledBack || current.phase == RolloutPhase.Completed) return
-        when (rule(evidence, events.nowMillis - stageAtMillis)) {
+        if (events.nowMillis - periodAtMillis >= PERIOD_MILLIS) beginPeriod()
+        when (rule(periods, events.nowMillis - stageAtMillis)) {
             RolloutVerdict.Continue -> setPercent(current, stagePercent)
             RolloutVerdict.Hold -> setPercent(current, percent = 0)
             RolloutVerdict.Advance -> advance(current)
@@ -87,12 +88,20 @@
     }
 
     private fun enter(stage: Rollout) {
-        evidence = RolloutEvidence()
+        periods.clear()
+        beginPeriod()
         stagePercent = stage.percent
         stageAtMillis = events.nowMillis
         set(stage)
     }
 
+    /** Opens a period; the oldest ones grow into one, so that their number stays bounded. */
+    private fun beginPeriod() {
+        periodAtMillis = events.nowMillis
+        periods.addLast(RolloutEvidence())
+        if (periods.size > PERIODS_KEPT) periods.addFirst(periods.removeFirst() + periods.removeFirst())
+    }
+
     private fun setPercent(
         current: Rollout,
         percent: Int,
@@ -107,6 +116,8 @@
 
     private companion object {
         const val JUDGE_MILLIS = 1_000.0
+        const val PERIOD_MILLIS = 30_000.0
+        const val PERIODS_KEPT = 6
         const val SLOW_MILLIS_PER_TOKEN = 80.0
         val STAGES = listOf(1, 10, 50)
     }
--- a/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/Planner.kt
@@ -37,10 +37,13 @@
  * Describes one step of a plan.
  *
  * @property acceptRating lowest rating at which the answer is taken; null for the last step, whose answer always is
+ * @property rateAnswer whether the rating service is asked for a rating though nothing waits for it, because a
+ * roll-out is being judged
  */
 public data class PlanStep(
     val version: ModelVersion,
     val acceptRating: Double? = null,
+    val rateAnswer: Boolean = false,
 )
 
 /** Lists the versions to try, cheapest first; one step is a plain choice, more are a cascade. */
--- a/routing/src/main/kotlin/io/carawaytrack/routing/PoolMembers.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/PoolMembers.kt
@@ -41,12 +41,16 @@
 internal class EligibleMembers(
     val members: List<PoolMember>,
     private val replacements: Map<ModelVersion, Replacement>,
+    private val judged: Set<ModelVersion>,
 ) {
     /** Returns [plan] with each step's version replaced by the share of its roll-out. */
     fun afterRollouts(
         plan: Plan,
         random: Random,
-    ): Plan = Plan(plan.steps.map { it.copy(version = afterRollout(it.version, random)) })
+    ): Plan = withRatings(Plan(plan.steps.map { it.copy(version = afterRollout(it.version, random)) }))
+
+    /** Returns [plan] with ratings asked for wherever a version runs that a roll-out is bringing in. */
+    fun withRatings(plan: Plan): Plan = Plan(plan.steps.map { it.copy(rateAnswer = it.version in judged) })
 
     private fun afterRollout(
         version: ModelVersion,
@@ -104,7 +108,7 @@
     if (member == null || configuration.stateOf(pinned) == VersionState.Withdrawn) {
         return Err(ErrorKind.SessionVersionWithdrawn.notRun("the session runs on $pinned, which is withdrawn"))
     }
-    return Ok(EligibleMembers(listOf(member), emptyMap()))
+    return Ok(EligibleMembers(listOf(member), emptyMap(), judged(configuration.rollouts)))
 }
 
 private fun applyRollouts(
@@ -122,9 +126,16 @@
     val held = replacements.values.map { it.version }.toSet()
     val direct = serving.filter { it.version !in held }.ifEmpty { serving }
     val roomy = direct.filter { it.version !in full }
-    return EligibleMembers(roomy.ifEmpty { direct }, replacements.filterValues { it.version !in full })
+    return EligibleMembers(
+        roomy.ifEmpty { direct },
+        replacements.filterValues { it.version !in full },
+        judged(rollouts),
+    )
 }
 
+private fun judged(rollouts: List<Rollout>): Set<ModelVersion> =
+    rollouts.filter { it.phase == RolloutPhase.Running || it.phase == RolloutPhase.Paused }.map { it.to }.toSet()
+
 private fun shareOf(rollout: Rollout): Int = when (rollout.phase) {
     RolloutPhase.Running, RolloutPhase.Paused -> rollout.percent
     RolloutPhase.Completed -> WHOLE_PERCENT
--- a/routing/src/main/kotlin/io/carawaytrack/routing/RolloutJudge.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/RolloutJudge.kt
@@ -60,7 +60,11 @@
 public data class RolloutEvidence(
     val from: VersionTally = VersionTally(),
     val to: VersionTally = VersionTally(),
-)
+) {
+    /** Adds what was seen over another time. */
+    public operator fun plus(other: RolloutEvidence): RolloutEvidence =
+        RolloutEvidence(from + other.from, to + other.to)
+}
 
 /** Tells what to do with a roll-out. */
 public enum class RolloutVerdict {
@@ -100,8 +104,11 @@
 
 /** Judges a stage of a roll-out. */
 public interface RolloutJudge {
-    /** Returns what to do, given everything seen since the stage began. */
-    public fun judge(evidence: RolloutEvidence): RolloutVerdict
+    /**
+     * Returns what to do, given what was seen in the [periods] of the stage, the oldest first. A version that turns
+     * bad within the stage shows in the latest periods long before it shows in their sum.
+     */
+    public fun judge(periods: List<RolloutEvidence>): RolloutVerdict
 }
 
 /** Creates a judge that tests ratings, failures and slow answers one after another as they come in. */
@@ -111,24 +118,40 @@
 private class SequentialJudge(
     private val settings: RolloutJudgeSettings,
 ) : RolloutJudge {
-    override fun judge(evidence: RolloutEvidence): RolloutVerdict {
-        val ratings = rise(ratings(evidence.from), ratings(evidence.to))
-        val failures = rise(failures(evidence.from), failures(evidence.to))
-        val slowness = rise(slowness(evidence.from), slowness(evidence.to))
-        val isWorse =
-            ratings.endInclusive < -settings.ratingLoss || failures.start > 0.0 || slowness.start > settings.slowMargin
-        val isNoWorse =
-            ratings.start > -settings.ratingMargin &&
-                failures.endInclusive < settings.failureMargin &&
-                slowness.endInclusive < settings.slowMargin
+    override fun judge(periods: List<RolloutEvidence>): RolloutVerdict {
+        val whole = periods.fold(RolloutEvidence()) { sum, period -> sum + period }
+        val sinceEach = periods.map { it.to }.runningSumFromLast()
         return when {
-            isWorse -> RolloutVerdict.RollBack
-            isNoWorse -> RolloutVerdict.Advance
-            isUsedUp(evidence.to) -> RolloutVerdict.Hold
+            sinceEach.any { isWorse(whole.from, it, sinceEach.size) } -> RolloutVerdict.RollBack
+            isNoWorse(whole.from, whole.to) -> RolloutVerdict.Advance
+            isUsedUp(whole.to) -> RolloutVerdict.Hold
             else -> RolloutVerdict.Continue
         }
     }
 
+    /** Tests one of [starts] stretches of the stage; they share the error between them. */
+    private fun isWorse(
+        old: VersionTally,
+        new: VersionTally,
+        starts: Int,
+    ): Boolean {
+        val errorShare = settings.errorShare / starts
+        return ratingRise(old, new, errorShare).endInclusive < -settings.ratingLoss ||
+            rise(failures(old), failures(new), errorShare).start > 0.0 ||
+            rise(slowness(old), slowness(new), errorShare).start > settings.slowMargin
+    }
+
+    private fun isNoWorse(
+        old: VersionTally,
+        new: VersionTally,
+    ): Boolean = ratingRise(old, new, settings.errorShare).start > -settings.ratingMargin &&
+        rise(failures(old), failures(new), settings.errorShare).endInclusive < settings.failureMargin &&
+        rise(slowness(old), slowness(new), settings.errorShare).endInclusive < settings.slowMargin
+
+    /** Returns for each period the sum of itself and all later ones. */
+    private fun List<VersionTally>.runningSumFromLast(): List<VersionTally> =
+        asReversed().runningReduce { sum, tally -> sum + tally }
+
     private fun isUsedUp(tally: VersionTally): Boolean {
         val isUnrated = tally.ratings < LEAST_RATINGS && tally.exposed >= settings.unratedLimit
         return isUnrated || tally.exposed >= settings.exposureLimit
@@ -141,22 +164,37 @@
     private fun rise(
         old: Sample,
         new: Sample,
+        errorShare: Double,
     ): ClosedFloatingPointRange<Double> {
         if (old.count < LEAST_RATINGS || new.count < LEAST_SAMPLE) return -1.0..1.0
         val variance = old.variance / old.count + new.variance / new.count
         val mixed = variance + MIXTURE_DEVIATION * MIXTURE_DEVIATION
         val spread = variance * mixed / (MIXTURE_DEVIATION * MIXTURE_DEVIATION)
-        val radius = sqrt(spread * (2 * ln(TESTS / settings.errorShare) + ln(mixed / variance)))
+        val radius = sqrt(spread * (2 * ln(TESTS / errorShare) + ln(mixed / variance)))
         val difference = new.mean - old.mean
         return difference - radius..difference + radius
     }
 
-    private fun ratings(tally: VersionTally): Sample {
+    /** Returns the rise of the mean rating; the few ratings of [new] are taken to scatter much as those of [old] do. */
+    private fun ratingRise(
+        old: VersionTally,
+        new: VersionTally,
+        errorShare: Double,
+    ): ClosedFloatingPointRange<Double> {
+        val known = ratings(old, UNKNOWN_VARIANCE)
+        return rise(known, ratings(new, known.variance), errorShare)
+    }
+
+    private fun ratings(
+        tally: VersionTally,
+        usualVariance: Double,
+    ): Sample {
         val count = tally.ratings.toDouble()
-        if (count == 0.0) return Sample(0.0, 0.0, UNKNOWN_VARIANCE)
+        if (count == 0.0) return Sample(0.0, 0.0, usualVariance)
         val mean = tally.ratingSum / count
         val seen = (tally.ratingSquareSum / count - mean * mean).coerceAtLeast(0.0)
-        return Sample(count, mean, (seen * count + UNKNOWN_VARIANCE) / (count + 1))
+        val smoothed = (seen * count + usualVariance * USUAL_RATINGS) / (count + USUAL_RATINGS)
+        return Sample(count, mean, smoothed)
     }
 
     private fun failures(tally: VersionTally): Sample = share(tally.failed, tally.completed + tally.failed)
@@ -184,5 +222,6 @@
         const val TESTS = 3.0
         const val MIXTURE_DEVIATION = 0.2
         const val UNKNOWN_VARIANCE = 0.06
+        const val USUAL_RATINGS = 2.0
     }
 }
--- a/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamChooser.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamChooser.kt
@@ -70,8 +70,11 @@
  * Tunes the choice of upstreams.
  *
  * @property retryAfterMillis hint given when every upstream of a version is full
+ * @property remoteTokensPerPermit outstanding tokens for each permit by which an upstream in another zone must be less
+ * busy to be taken before a local one
  */
 public data class ChooserSettings(
+    val remoteTokensPerPermit: Double = 30.0,
     val retryAfterMillis: Long = 1_000,
 )
 
@@ -100,12 +103,15 @@
         configuration: Configuration,
         request: ChoiceRequest,
     ): Result<Announcement, Failure> {
-        val serving = table.candidates { serves(configuration, request, it) }
+        val serving =
+            table.candidates(
+                inService = { configuration.inService(it.upstream, it.zone) },
+                accepts = { serves(request, it) },
+            )
         if (serving.isEmpty()) return Err(ErrorKind.NoHealthyUpstream.notRun(noneDetail(request.version)))
         val free = serving.filter { it.hasRoom && it.announcement.upstream !in request.excluded }
         if (free.isEmpty()) return Err(exhausted(request.version, serving.size))
-        val local = free.filter { it.announcement.zone == zone }
-        return Ok(leastOutstanding(local.ifEmpty { free }).announcement)
+        return Ok(leastOutstanding(free.filter { it.healthy }.ifEmpty { free }).announcement)
     }
 
     override fun started(
@@ -117,24 +123,27 @@
         upstream: UpstreamId,
         tokens: Long,
         healthy: Boolean,
-    ) = table.finished(upstream, tokens)
+    ) = table.finished(upstream, tokens, healthy)
 
     private fun serves(
-        configuration: Configuration,
         request: ChoiceRequest,
         announcement: Announcement,
     ): Boolean {
         if (announcement.leaving || request.version !in announcement.versions) return false
-        if (request.allowed.isNotEmpty() && announcement.upstream !in request.allowed) return false
-        return configuration.inService(announcement.upstream, announcement.zone)
+        return request.allowed.isEmpty() || announcement.upstream in request.allowed
     }
 
     private fun leastOutstanding(candidates: List<UpstreamView>): UpstreamView {
-        val least = candidates.minOf { it.outstandingTokens }
-        val ties = candidates.filter { it.outstandingTokens == least }
+        val least = candidates.minOf(::burden)
+        val ties = candidates.filter { burden(it) == least }
         return ties[random.nextInt(ties.size)]
     }
 
+    private fun burden(candidate: UpstreamView): Double {
+        val isLocal = candidate.announcement.zone == zone
+        return candidate.tokensPerPermit + if (isLocal) 0.0 else settings.remoteTokensPerPermit
+    }
+
     private fun noneDetail(version: ModelVersion) =
         "expected an upstream in service that serves $version, known are ${table.size}, none fits"
 
--- a/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamTable.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/UpstreamTable.kt
@@ -11,19 +11,33 @@
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
+import kotlin.math.ceil
 
 private const val SHARD_COUNT = 16
 
 /** Age that the load in an announcement is taken to have when it arrives, in milliseconds. */
 private const val ANNOUNCEMENT_LAG_MILLIS = 500L
 
-/** Shows one upstream at the moment of a choice, its load corrected by the entry's own attempts. */
+/** Time in which an upstream that comes back into service gets back to all of its permits, in milliseconds. */
+private const val RETURN_MILLIS = 20_000L
+
+/**
+ * Shows one upstream at the moment of a choice, its load corrected by the entry's own attempts.
+ *
+ * @property permits requests that it may run at once, fewer than announced while it returns to service
+ * @property healthy false while it is left alone because attempts on it failed
+ */
 internal data class UpstreamView(
     val announcement: Announcement,
+    val permits: Int,
     val running: Int,
     val outstandingTokens: Long,
+    val healthy: Boolean,
 ) {
-    val hasRoom: Boolean get() = running < announcement.load.permits
+    val hasRoom: Boolean get() = running < permits
+
+    /** Tokens waiting for each request that can run at once. */
+    val tokensPerPermit: Double get() = outstandingTokens.toDouble() / permits.coerceAtLeast(1)
 }
 
 internal class UpstreamTable(
@@ -56,11 +70,17 @@
     fun finished(
         upstream: UpstreamId,
         tokens: Long,
-    ) = shardOf(upstream).finished(upstream, tokens, nowMillis())
+        healthy: Boolean,
+    ) = shardOf(upstream).finished(upstream, tokens, healthy, nowMillis())
 
-    /** Returns a view of every announced upstream for which [accepts] holds. */
-    fun candidates(accepts: (Announcement) -> Boolean): List<UpstreamView> =
-        buildList { shards.forEach { it.addTo(this, accepts) } }
+    /** Returns a view of every announced upstream that is [inService] and for which [accepts] holds. */
+    fun candidates(
+        inService: (Announcement) -> Boolean,
+        accepts: (Announcement) -> Boolean,
+    ): List<UpstreamView> {
+        val atMillis = nowMillis()
+        return buildList { shards.forEach { it.addTo(this, atMillis, inService, accepts) } }
+    }
 
     private fun shardOf(upstream: UpstreamId): Shard = shards[shardIndex(upstream.value, SHARD_COUNT)]
 }
@@ -102,14 +122,21 @@
     fun finished(
         upstream: UpstreamId,
         tokens: Long,
+        healthy: Boolean,
         atMillis: Long,
-    ): Unit = lock.withLock { slots[upstream]?.finished(tokens, atMillis) }
+    ): Unit = lock.withLock { slots[upstream]?.finished(tokens, healthy, atMillis) }
 
     fun addTo(
         views: MutableList<UpstreamView>,
+        atMillis: Long,
+        inService: (Announcement) -> Boolean,
         accepts: (Announcement) -> Boolean,
     ) = lock.withLock {
-        slots.values.filter { accepts(it.announcement) }.mapTo(views) { it.view() }
+        for (slot in slots.values) {
+            val isIn = inService(slot.announcement)
+            slot.look(isIn, atMillis)
+            if (isIn && accepts(slot.announcement)) views += slot.view(atMillis)
+        }
     }
 }
 
@@ -121,6 +148,9 @@
     private var reported = announcement.load
     private var reportedAtMillis = Long.MIN_VALUE / 2
     private val recent = ArrayDeque<OwnChange>()
+    private val health = UpstreamHealth()
+    private var wasOut = false
+    private var returnedAtMillis = Long.MIN_VALUE / 2
     private var ownRunning = 0
     private var ownTokens = 0L
     private var runningSince = 0
@@ -163,17 +193,37 @@
 
     fun finished(
         tokens: Long,
+        healthy: Boolean,
         atMillis: Long,
     ) {
         if (ownRunning > 0) addOwn(OwnChange(atMillis, -1, -tokens))
+        health.ended(healthy, atMillis)
+    }
+
+    /** Notes whether the upstream is in service, so that a return is noticed. */
+    fun look(
+        isIn: Boolean,
+        atMillis: Long,
+    ) {
+        if (isIn && wasOut) returnedAtMillis = atMillis
+        wasOut = !isIn
     }
 
-    fun view(): UpstreamView = UpstreamView(
+    fun view(atMillis: Long): UpstreamView = UpstreamView(
         announcement = announcement,
+        permits = permits(atMillis),
         running = maxOf(reported.running + runningSince, ownRunning),
         outstandingTokens = maxOf(reported.queuedTokens + tokensSince, ownTokens),
+        healthy = health.mayTry(ownRunning, atMillis),
     )
 
+    /** Returns the announced permits, or the part of them that the time since a return allows. */
+    private fun permits(atMillis: Long): Int {
+        val sinceMillis = atMillis - returnedAtMillis
+        if (sinceMillis >= RETURN_MILLIS) return announcement.load.permits
+        return ceil(announcement.load.permits * sinceMillis.toDouble() / RETURN_MILLIS).toInt()
+    }
+
     private fun takeLoad(load: UpstreamLoad) {
         reported = load
         runningSince = 0
@@ -194,6 +244,33 @@
     }
 }
 
+/** Leaves an upstream alone after failures in a row, each time for longer, and then tries it with one request. */
+private class UpstreamHealth {
+    private var failuresInRow = 0
+    private var outUntilMillis = Long.MIN_VALUE
+
+    fun ended(
+        healthy: Boolean,
+        atMillis: Long,
+    ) {
+        failuresInRow = if (healthy) 0 else failuresInRow + 1
+        if (failuresInRow < FAILURES_BEFORE_OUT) return
+        val doublings = (failuresInRow - FAILURES_BEFORE_OUT).coerceAtMost(MAX_DOUBLINGS)
+        outUntilMillis = atMillis + (FIRST_OUT_MILLIS shl doublings)
+    }
+
+    fun mayTry(
+        ownRunning: Int,
+        atMillis: Long,
+    ): Boolean = failuresInRow < FAILURES_BEFORE_OUT || (atMillis >= outUntilMillis && ownRunning == 0)
+
+    private companion object {
+        const val FAILURES_BEFORE_OUT = 3
+        const val FIRST_OUT_MILLIS = 1_000L
+        const val MAX_DOUBLINGS = 5
+    }
+}
+
 /** Notes that the entry's own attempts on an upstream became more or fewer. */
 private class OwnChange(
     val atMillis: Long,
--- a/routing/src/test/kotlin/io/carawaytrack/routing/RolloutJudgeTest.kt
+++ b/routing/src/test/kotlin/io/carawaytrack/routing/RolloutJudgeTest.kt
@@ -37,10 +37,18 @@
     @TestFactory
     fun `judge`(): List<DynamicTest> = cases.map { case ->
         dynamicTest(case.name) {
-            expectThat(RolloutJudge().judge(RolloutEvidence(old, case.to))).isEqualTo(case.expected)
+            expectThat(RolloutJudge().judge(listOf(RolloutEvidence(old, case.to)))).isEqualTo(case.expected)
         }
     }
 
+    @Test
+    fun `judge rolls back on the latest period though the stage as a whole is undecided`() {
+        val good = RolloutEvidence(old, tally(400, 0.86, 150))
+        val bad = RolloutEvidence(old, tally(20, 0.45, 12))
+        expectThat(RolloutJudge().judge(listOf(good + bad))).isEqualTo(RolloutVerdict.Continue)
+        expectThat(RolloutJudge().judge(listOf(good, bad))).isEqualTo(RolloutVerdict.RollBack)
+    }
+
     @Test
     fun `judge rolls back an equal version in at most one of a hundred stages though asked after every rating`() {
         val rolledBack = (1..400).count { seed -> RolloutVerdict.RollBack in verdictsOnEqualVersions(Random(seed)) }
@@ -58,12 +66,13 @@
     }
 
     private fun verdictsOnEqualVersions(random: Random): List<RolloutVerdict> {
-        var evidence = RolloutEvidence()
-        return List(500) {
-            val from = Observation.Rated(0.6 + 0.4 * random.nextDouble())
-            val to = Observation.Rated(0.6 + 0.4 * random.nextDouble())
-            evidence = RolloutEvidence(evidence.from.plus(from, 50.0), evidence.to.plus(to, 50.0))
-            RolloutJudge().judge(evidence)
+        val periods = ArrayDeque<RolloutEvidence>()
+        return List(500) { index ->
+            if (index % 50 == 0) periods.addLast(RolloutEvidence())
+            val from = periods.last().from.plus(Observation.Rated(0.6 + 0.4 * random.nextDouble()), 50.0)
+            val to = periods.last().to.plus(Observation.Rated(0.6 + 0.4 * random.nextDouble()), 50.0)
+            periods[periods.lastIndex] = RolloutEvidence(from, to)
+            RolloutJudge().judge(periods)
         }
     }
 
--- a/routing/src/test/kotlin/io/carawaytrack/routing/UpstreamChooserTest.kt
+++ b/routing/src/test/kotlin/io/carawaytrack/routing/UpstreamChooserTest.kt
@@ -5,6 +5,7 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
 import io.carawaytrack.model.Announcement
 import io.carawaytrack.model.Configuration
 import io.carawaytrack.model.ErrorKind
@@ -38,6 +39,11 @@
                 listOf(announced("u1", queuedTokens = 9), announced("u2", zone = "b")),
                 "u1",
             ),
+            Choice(
+                "one elsewhere when the local one is far busier",
+                listOf(announced("u1", queuedTokens = 900), announced("u2", zone = "b")),
+                "u2",
+            ),
             Choice(
                 "one elsewhere when the local one is full",
                 listOf(announced("u1", running = 4), announced("u2", zone = "b")),
@@ -128,7 +134,57 @@
         expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u2")
     }
 
-    private fun chooser() = UpstreamChooser(ZoneName("a"), nowMillis = { 0 }, random = Random(1))
+    @Test
+    fun `an upstream that fails three times in a row is left alone for a second and then tried with one request`() {
+        val chooser = chooser()
+        chooser.update(membership(announced("u1"), announced("u2", zone = "b")))
+        repeat(3) { chooser.finished(UpstreamId("u1"), tokens = 0, healthy = false) }
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u2")
+        clockMillis += 1_000
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u1")
+        chooser.started(UpstreamId("u1"), tokens = 0)
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u2")
+        chooser.finished(UpstreamId("u1"), tokens = 0, healthy = true)
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u1")
+    }
+
+    @Test
+    fun `an upstream that is the only one left is tried though it failed`() {
+        val chooser = chooser()
+        chooser.update(membership(announced("u1")))
+        repeat(5) { chooser.finished(UpstreamId("u1"), tokens = 0, healthy = false) }
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("u1")
+    }
+
+    @Test
+    fun `a zone that comes back gets its permits back in steps`() {
+        val chooser = chooser()
+        val out = Configuration(zonesOut = setOf(ZoneName("a")))
+        chooser.update(membership(announced("u1", permits = 4)))
+        expectThat(chooser.choose(out, ChoiceRequest(small)).text()).isEqualTo("NoHealthyUpstream")
+        val started =
+            listOf(0L, 1_000L, 6_000L, 11_000L, 20_000L).map { atMillis ->
+                clockMillis = atMillis
+                generateSequence { chooser.choose(Configuration(), ChoiceRequest(small)).get() }
+                    .onEach { chooser.started(it.upstream, tokens = 1) }
+                    .count()
+            }
+        expectThat(started).isEqualTo(listOf(0, 1, 1, 1, 1))
+    }
+
+    @Test
+    fun `an announcement does not hide the attempts that were started while it was on its way`() {
+        val chooser = chooser()
+        chooser.update(membership(announced("u1", permits = 2), number = 1))
+        repeat(2) { chooser.started(UpstreamId("u1"), tokens = 1) }
+        clockMillis += 400
+        chooser.update(membership(announced("u1", permits = 2, running = 1), number = 2))
+        expectThat(chooser.choose(Configuration(), ChoiceRequest(small)).text()).isEqualTo("PoolExhausted")
+    }
+
+    private var clockMillis = 0L
+
+    private fun chooser() = UpstreamChooser(ZoneName("a"), nowMillis = { clockMillis }, random = Random(1))
 
     private fun Result<Announcement, Failure>.text(): String = fold({ it.upstream.value }, { it.kind.text() })
 
