Keep a key to its session and a shared run from being abandoned

A key sent again with another session was started on the first session's version without a pin, so another entry could pin the second session to another version. And when a repeatable request had been started by two entries, the one that ran nothing could withdraw the intent under the other: a later resend then ran and was billed under a second identity.

Ruled out: a count of starts, since copies of a resent command would change it twice; pinning the second session on a resend, since the two sessions may already differ.

Change: the record holds its session, and a resend with another one is answered Conflicting; a record that was handed to a second entry is marked shared and stays when one of them abandons it.

--- a/ledger/src/main/kotlin/io/carawaytrack/ledger/Ledger.kt
+++ b/ledger/src/main/kotlin/io/carawaytrack/ledger/Ledger.kt
@@ -45,16 +45,22 @@
     val bills: Int,
 )
 
-/** Records one request. */
+/**
+ * Records one request.
+ *
+ * @property shared whether more than one entry has been allowed to run it, so that none can tell that nothing ran
+ */
 @Serializable
 public data class RequestRecord(
     val request: RequestId,
     val key: String?,
     val digest: Long,
+    val session: SessionId? = null,
     val version: ModelVersion,
     val repeatable: Boolean,
     val timeoutMillis: Long,
     val beganAtMillis: Long,
+    val shared: Boolean = false,
     val finished: Boolean = false,
     val answer: StoredAnswer? = null,
 )
--- a/ledger/src/main/kotlin/io/carawaytrack/ledger/LedgerMessage.kt
+++ b/ledger/src/main/kotlin/io/carawaytrack/ledger/LedgerMessage.kt
@@ -28,7 +28,7 @@
      * @property request proposed by the entry; when [key] was used before, the reply carries the first one
      * @property key the caller's idempotency key
      * @property digest digest of method, path and body, by which another request under the same key is told apart
-     * @property session session to be pinned to [version], when it has no version yet
+     * @property session session to be pinned to [version], when it has no version yet; a key keeps its first session
      * @property repeatable whether the request may run again when its first outcome is unknown
      * @property timeoutMillis bound on the run; an intent older than this is no longer in progress
      */
@@ -57,7 +57,10 @@
         val atMillis: Long,
     ) : LedgerCommand
 
-    /** Withdraws an intent of which it is certain that nothing ran, so that a resend may run. */
+    /**
+     * Withdraws an intent of which its entry is certain that nothing ran, so that a resend may run. An intent that
+     * another entry was allowed to run too stays.
+     */
     @Serializable
     @SerialName("a")
     public data class Abandon(
--- a/ledger/src/main/kotlin/io/carawaytrack/ledger/OrganisationLedger.kt
+++ b/ledger/src/main/kotlin/io/carawaytrack/ledger/OrganisationLedger.kt
@@ -61,17 +61,29 @@
     ): LedgerReply {
         val answer = earlier.answer
         return when {
-            earlier.digest != command.digest -> LedgerReply.Conflicting
+            !earlier.matches(command) -> LedgerReply.Conflicting
             answer != null -> LedgerReply.Repeated(earlier.request, answer)
             earlier.request == command.request && !earlier.finished -> started(earlier, command)
             earlier.finished -> LedgerReply.Unknown(earlier.request)
             earlier.repeatable && !mayRun(stateOf(earlier.version), command.session != null) -> LedgerReply.VersionGone
-            earlier.repeatable -> started(earlier, command)
+            earlier.repeatable -> share(earlier, command)
             command.atMillis - earlier.beganAtMillis < earlier.timeoutMillis -> LedgerReply.InProgress(earlier.request)
             else -> LedgerReply.Unknown(earlier.request)
         }
     }
 
+    // The version of another session may differ, so a key does not pass from one session to another either.
+    private fun RequestRecord.matches(command: LedgerCommand.Begin) =
+        digest == command.digest && session == command.session
+
+    private fun share(
+        earlier: RequestRecord,
+        command: LedgerCommand.Begin,
+    ): LedgerReply {
+        requests[earlier.request] = earlier.copy(shared = true)
+        return started(earlier, command)
+    }
+
     private fun started(
         earlier: RequestRecord,
         command: LedgerCommand.Begin,
@@ -91,6 +103,7 @@
                 request = command.request,
                 key = command.key,
                 digest = command.digest,
+                session = command.session,
                 version = version,
                 repeatable = command.repeatable,
                 timeoutMillis = command.timeoutMillis,
@@ -111,7 +124,7 @@
 
     private fun abandon(command: LedgerCommand.Abandon): LedgerReply {
         val record = requests[command.request]
-        if (record == null || record.finished) return LedgerReply.Done(first = false)
+        if (record == null || record.finished || record.shared) return LedgerReply.Done(first = false)
         forget(record)
         return LedgerReply.Done(first = true)
     }
