--- /dev/null
+++ b/control/src/test/kotlin/io/carawaytrack/control/HolderTest.kt
@@ -0,0 +1,169 @@
+/*
+ * Leases and membership as the leading control host gives them out, with a replica that confirms or does not, and a
+ * clock that the test moves.
+ */
+package io.carawaytrack.control
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.carawaytrack.consensus.Replica
+import io.carawaytrack.consensus.ReplicaStatus
+import io.carawaytrack.fakes.FakeLink
+import io.carawaytrack.fakes.testPeer
+import io.carawaytrack.model.Announcement
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.LEASE_MILLIS
+import io.carawaytrack.model.Membership
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.UpstreamId
+import io.carawaytrack.model.UpstreamLoad
+import io.carawaytrack.model.ZoneName
+import io.carawaytrack.model.notRun
+import io.carawaytrack.wire.Heartbeat
+import io.carawaytrack.wire.LeaseGrant
+import io.carawaytrack.wire.NotLeading
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+private val upstream = UpstreamId("engine-1")
+
+private class FakeReplica(
+    var leads: Boolean,
+) : Replica {
+    override suspend fun propose(command: ByteArray): Result<ByteArray, Failure> = Err(ErrorKind.NotLeader.notRun())
+
+    override suspend fun confirm(): Result<Unit, Failure> = if (leads) Ok(Unit) else Err(ErrorKind.NotLeader.notRun())
+
+    override fun receive(
+        from: NodeId,
+        payload: ByteArray,
+    ) = Unit
+
+    // A host that was cut off goes on believing that it leads.
+    override fun status() = ReplicaStatus(NodeId("c1"), NodeId("c2"), 1, 1, 1)
+
+    override fun close() = Unit
+}
+
+class HolderTest {
+    private var nowMillis = 10_000L
+    private val registry = HolderRegistry { nowMillis }
+
+    private fun announce(
+        incarnation: Long = 1,
+        leaving: Boolean = false,
+        running: Int = 0,
+    ) = registry.heard(
+        testPeer("agent-1", NodeRole.Agent),
+        Heartbeat(
+            sequence = 1,
+            configurationNumber = 0,
+            announcement =
+                Announcement(
+                    upstream,
+                    ZoneName("z1"),
+                    "127.0.0.1",
+                    1,
+                    incarnation,
+                    emptyList(),
+                    UpstreamLoad(1, running),
+                    leaving,
+                ),
+        ),
+    )
+
+    private fun Membership?.names() = this?.upstreams?.map(Announcement::upstream)
+
+    @Test
+    fun `an upstream that falls silent is gone after two seconds and returns when it is heard`() {
+        registry.lead(leading = true)
+        announce()
+        val known = registry.membershipSince(0)!!.number
+        nowMillis += UPSTREAM_SILENCE_MILLIS
+        expectThat(registry.membershipSince(known)).isNull()
+        nowMillis += 1
+        val gone = registry.membershipSince(known)
+        expectThat(gone?.removed).isEqualTo(listOf(upstream))
+        expectThat(registry.announcements()).isEmpty()
+        announce()
+        expectThat(registry.membershipSince(gone!!.number).names()).isEqualTo(listOf(upstream))
+    }
+
+    @Test
+    fun `an announced stop is passed on, and an earlier start of the agent cannot take it back`() {
+        registry.lead(leading = true)
+        announce(incarnation = 2)
+        val known = registry.membershipSince(0)!!.number
+        announce(incarnation = 2, leaving = true)
+        expectThat(
+            registry
+                .membershipSince(known)!!
+                .upstreams
+                .single()
+                .leaving,
+        ).isTrue()
+        announce(incarnation = 1)
+        expectThat(registry.announcements().single()) {
+            get { leaving }.isTrue()
+            get { incarnation }.isEqualTo(2)
+        }
+        announce(incarnation = 3)
+        expectThat(registry.announcements().single().leaving).isFalse()
+    }
+
+    @Test
+    fun `a new leader calls its list complete only after every agent has had its turn`() {
+        registry.lead(leading = true)
+        expectThat(registry.membershipSince(0)!!.complete).isFalse()
+        nowMillis += UPSTREAM_SILENCE_MILLIS
+        announce()
+        expectThat(registry.membershipSince(0)!!.complete).isFalse()
+        nowMillis += 1
+        expectThat(registry.membershipSince(0)) {
+            get { this?.complete }.isEqualTo(true)
+            get { names() }.isEqualTo(listOf(upstream))
+        }
+        registry.lead(leading = false)
+        registry.lead(leading = true)
+        expectThat(registry.membershipSince(0)) {
+            get { this?.complete }.isEqualTo(false)
+            get { names() }.isEqualTo(emptyList())
+        }
+    }
+
+    @Test
+    fun `only a host whose quorum confirms it grants a lease`() = runTest {
+        val replica = FakeReplica(leads = false)
+        val leader = HostPort("127.0.0.1", 7)
+        val service = HolderService(replica, ControlState(), registry, mapOf(NodeId("c2") to leader))
+        val link = FakeLink(testPeer("entry-1", NodeRole.Entry))
+        val serving = launch { service.serve(link) }
+        link.deliver(Heartbeat(1, 0))
+        expectThat(link.sent()).isA<NotLeading>().get { this.leader }.isEqualTo(leader)
+        expectThat(registry.statuses()).isEmpty()
+        replica.leads = true
+        link.deliver(Heartbeat(2, 0))
+        expectThat(link.sent()).isA<LeaseGrant>().and {
+            get { sequence }.isEqualTo(2)
+            get { durationMillis }.isEqualTo(LEASE_MILLIS)
+            get { membership }.isNotNull()
+        }
+        expectThat(registry.statuses().map { it.node }).containsExactly(NodeId("entry-1"))
+        serving.cancelAndJoin()
+    }
+}
