--- a/ledger/src/main/kotlin/io/carawaytrack/ledger/Ledger.kt
+++ b/ledger/src/main/kotlin/io/carawaytrack/ledger/Ledger.kt
@@ -53,16 +53,22 @@
     openRequests = openRequests + other.openRequests,
 )
 
-/** Records one request. */
+/**
+ * Records one request.
+ *
+ * @property shared whether more than one entry has been allowed to run it, so that none can tell that nothing ran
+ */
 @Serializable
 public data class RequestRecord(
     val request: RequestId,
     val key: String?,
     val digest: Long,
+    val session: SessionId? = null,
     val version: ModelVersion,
     val repeatable: Boolean,
     val timeoutMillis: Long,
     val beganAtMillis: Long,
+    val shared: Boolean = false,
     val finished: Boolean = false,
     val answer: StoredAnswer? = null,
 )
