--- /dev/null
+++ b/bench/src/test/kotlin/io/carawaytrack/bench/SlopeTest.kt
@@ -0,0 +1,24 @@
+/*
+ * The fit of a line.
+ */
+package io.carawaytrack.bench
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectCatching
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFailure
+
+class SlopeTest {
+    @Test
+    fun `points on a line give back its slope with no error`() {
+        val line = fit(listOf(1.0, 2.0, 5.0, 9.0).map { Point(it, 3.0 * it + 4.0) })
+        expectThat(line).isEqualTo(Line(slope = 3.0, intercept = 4.0, rootMeanSquareError = 0.0))
+    }
+
+    @Test
+    fun `one size alone has no slope`() {
+        expectCatching { fit(listOf(Point(1.0, 1.0), Point(1.0, 2.0))) }.isFailure().isA<IllegalArgumentException>()
+    }
+}
--- a/wire/src/main/kotlin/io/carawaytrack/wire/Link.kt
+++ b/wire/src/main/kotlin/io/carawaytrack/wire/Link.kt
@@ -33,7 +33,9 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ClosedSendChannelException
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -225,6 +227,10 @@
         true
     } catch (_: ClosedSendChannelException) {
         false
+    } catch (_: CancellationException) {
+        // The queue of a closed link is cancelled; the caller itself may have been as well.
+        currentCoroutineContext().ensureActive()
+        false
     }
 
     override fun offer(message: Message): Boolean = outbox.trySend(message).isSuccess
