--- /dev/null
+++ b/agent/src/test/kotlin/io/carawaytrack/agent/SettingsReferenceTest.kt
@@ -0,0 +1,28 @@
+/*
+ * The reference of settings and the example file, kept true to the code.
+ */
+package io.carawaytrack.agent
+
+import com.github.michaelbull.result.getError
+import io.carawaytrack.tables.describeSettings
+import io.carawaytrack.tables.markdownRows
+import io.carawaytrack.tables.readSettings
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isNull
+import java.nio.file.Files
+import java.nio.file.Path
+
+class SettingsReferenceTest {
+    @Test
+    fun `the reference lists every setting as the code reads it`() {
+        val rows = markdownRows(describeSettings { agentSettings() })
+        expectThat(Files.readString(Path.of("../docs/SETTINGS.md"))).contains("$rows\n")
+    }
+
+    @Test
+    fun `the example file is free of faults`() {
+        expectThat(readSettings(Path.of("../examples/agent.toml")) { agentSettings() }.getError()).isNull()
+    }
+}
--- a/control/src/main/kotlin/io/carawaytrack/control/ControlSettings.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/ControlSettings.kt
@@ -41,7 +41,7 @@
     dataFolder = Path.of(text("data_folder")),
     linkAddress = address("link_address"),
     adminAddress = address("admin_address"),
-    members = textTable("members").entries.associate { (node, text) -> NodeId(node) to member(text) },
+    members = addressTable("members").mapKeys { (node, _) -> NodeId(node) },
     clusterId = text("cluster"),
     joining = flag("joining", false),
     operators = textTable("operators"),
@@ -52,6 +52,3 @@
             DEFAULT_RETENTION_HOURS,
         ) * MILLIS_PER_HOUR,
 )
-
-// A table of texts has no typed reader; a member without a port is never reached, which its peers log.
-private fun member(text: String) = HostPort.parse(text) ?: HostPort(text, 0)
--- a/tables/src/main/kotlin/io/carawaytrack/tables/SettingsReader.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/SettingsReader.kt
@@ -80,12 +80,18 @@
         default: HostPort? = null,
     ): HostPort
 
+    /** Reads an address that may be absent. */
+    public fun optionalAddress(key: String): HostPort?
+
     /** Reads a list of addresses. */
     public fun addressList(
         key: String,
         default: List<HostPort>? = null,
     ): List<HostPort>
 
+    /** Reads a table of addresses, such as node name to address; empty when absent. */
+    public fun addressTable(key: String): Map<String, HostPort>
+
     /** Reads a table of texts, such as node name to address; empty when absent. */
     public fun textTable(key: String): Map<String, String>
 }
--- a/tables/src/main/kotlin/io/carawaytrack/tables/TomlReader.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/TomlReader.kt
@@ -229,15 +229,25 @@
         default: List<HostPort>?,
     ): List<HostPort> = list(key, default, ADDRESS, ::addressOf)
 
-    override fun textTable(key: String): Map<String, String> {
+    override fun optionalAddress(key: String): HostPort? = if (find(key) == null) null else address(key, null)
+
+    override fun addressTable(key: String): Map<String, HostPort> = table(key, "a table of addresses") { address(it, null) }
+
+    override fun textTable(key: String): Map<String, String> = table(key, "a table of texts") { text(it, null) }
+
+    private fun <T> table(
+        key: String,
+        expected: String,
+        read: TomlReader.(key: String) -> T,
+    ): Map<String, T> {
         val found = find(key) ?: return emptyMap()
         val entries = found as? TomlTable
         if (entries == null) {
-            report(key, "a table of texts")
+            report(key, expected)
             return emptyMap()
         }
         val reader = TomlReader(journal, TomlPlace(entries, place.fullKey(key), place.lineOf(pathOf(key))))
-        return entries.keySet().associateWith { reader.text(Toml.joinKeyPath(listOf(it))) }
+        return entries.keySet().associateWith { reader.read(Toml.joinKeyPath(listOf(it))) }
     }
 
     private fun pathOf(key: String): List<String> = Toml.parseDottedKey(key)
