Report a wrong kind without the faults that only follow from it

Cause: a misspelt kind was read as `model` to go on, and a plain service's row then got false faults about its model and its pool beside the true one.

Ruled out: dropping single faults that depend on the kind (each rule would have to say whether it does).

Conclusion: every fault that is reported is one.

--- a/tables/src/main/kotlin/io/carawaytrack/tables/TableReader.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/TableReader.kt
@@ -25,6 +25,8 @@
 private val plainRoute = Route("", ServiceKind.Model, emptyList(), "", null, emptyList(), PoolName(""))
 private val plainMember = PoolMember(ModelVersion("", ""))
 
+private const val KIND_KEY = "kind"
+
 private val kinds = ServiceKind.entries.associateBy { it.name.lowercase() }
 private val priorities = Priority.entries.associateBy { it.name.lowercase() }
 
@@ -41,18 +43,22 @@
 ): Result<Tables, List<Fault>> {
     val routes = readToml(routesFile) { routesFile() }
     val pools = readToml(poolsFile) { rows("pool") { pool() } }
-    val readFaults = routes.faults + pools.faults
+    val readFaults = (routes.faults + pools.faults).inOrder()
     val routesRead = routes.completeValue()
     val poolsRead = pools.completeValue()
-    if (routesRead == null || poolsRead == null) return Err(readFaults)
+    // Without its kind a row cannot be held against the rows it is joined to.
+    val kindsKnown = readFaults.none { it.key.endsWith(".$KIND_KEY") }
+    if (routesRead == null || poolsRead == null || !kindsKnown) return Err(readFaults)
 
     val tables = Tables(routesRead.organisations, routesRead.routes, poolsRead)
     val places = mapOf(ROUTES_TABLE to TablePlaces(routesFile, routes), POOLS_TABLE to TablePlaces(poolsFile, pools))
     val checkFaults = checkTables(tables).mapNotNull { places.getValue(it.file).place(it) }
     val faults = readFaults + checkFaults
-    return if (faults.isEmpty()) Ok(tables) else Err(faults.sortedWith(compareBy({ it.file }, { it.line })))
+    return if (faults.isEmpty()) Ok(tables) else Err(faults.inOrder())
 }
 
+private fun List<Fault>.inOrder(): List<Fault> = sortedWith(compareBy(Fault::file, Fault::line))
+
 /** Gives the faults of the checks their place in a table's file. */
 private class TablePlaces(
     private val file: Path,
@@ -126,7 +132,7 @@
     ModelVersion(text("model"), text("version"))
 }
 
-private fun TomlReader.kind(): ServiceKind = kinds.getValue(choice("kind", kinds.keys))
+private fun TomlReader.kind(): ServiceKind = kinds.getValue(choice(KIND_KEY, kinds.keys))
 
 private fun TomlReader.priority(): Priority =
     priorities.getValue(choice("priority", priorities.keys, plainRoute.priority.name.lowercase()))
--- a/tables/src/test/kotlin/io/carawaytrack/tables/TableReaderTest.kt
+++ b/tables/src/test/kotlin/io/carawaytrack/tables/TableReaderTest.kt
@@ -272,6 +272,15 @@
             "name = \"strong\"\nkind = \"engine\"",
             "pools:15: pool[1].kind = engine: expected one of model, service",
         ),
+        TableFaultCase(
+            "kinds that are none, without the faults of the join that would follow from any stand-in",
+            "kind = \"service\"",
+            "kind = \"servce\"",
+            listOf(
+                "pools:24: pool[2].kind = servce: expected one of model, service",
+                "routes:24: route[1].kind = servce: expected one of model, service",
+            ),
+        ),
         TableFaultCase(
             "a pool of another kind than its route, its members and the pools that include it",
             "name = \"strong\"\nkind = \"model\"",
