Count a call as under way before its entry leaves

Cause: entries left for the followers before their calls were noted as under way. Had sending thrown, the calls would have been refused with NotRun although the entry could still be committed by others.

Ruled out: trusting send() never to throw (the promise to callers would rest on the transport's code).

Change: calls are noted first. A thread that ends refuses all queued calls even if closing the store throws, and takes no messages any more.

--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/GroupReplica.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/GroupReplica.kt
@@ -83,11 +83,11 @@
 /**
  * Opens one replica of [group] and starts its thread.
  *
- * Fails with `StorageFailed` when [disk] was not initialised for this node or can't be read.
+ * Fails with `StorageFailed` when [disk] was not initialised for this node or can't be read; [disk] then stays open.
  *
  * @param stateMachine in its first state; a snapshot and the log after it are played into it again
- * @param send hands a message of at most 512 KiB to the network; must not block, and may lose, delay, repeat or
- * reorder it
+ * @param send hands a message of at most 512 KiB to the network; must neither block nor throw, and may lose, delay,
+ * repeat or reorder it
  * @param onHalt learns why the replica has stopped for good: `ShuttingDown` after a close, `StorageFailed` when the
  * disk refused a call, else `Internal`
  */
@@ -124,12 +124,7 @@
     private val worker = thread(start = false, name = "replica-${driver.status.node}", isDaemon = true) { run() }
 
     init {
-        worker.setUncaughtExceptionHandler {
-            _,
-            thrown,
-            ->
-            stop(ErrorKind.Internal, "the replica's thread threw $thrown")
-        }
+        worker.setUncaughtExceptionHandler { _, thrown -> stop(ErrorKind.Internal, "the thread threw $thrown") }
         worker.start()
     }
 
@@ -147,7 +142,7 @@
         from: NodeId,
         payload: ByteArray,
     ) {
-        if (queue.size < settings.maxQueued) queue += Request.Receive(from, payload)
+        if (finished == null && queue.size < settings.maxQueued) queue += Request.Receive(from, payload)
     }
 
     override fun status(): ReplicaStatus = driver.status
@@ -181,9 +176,12 @@
         kind: ErrorKind,
         detail: String = kind.explanation,
     ) {
-        driver.close(kind, detail)
-        finished = kind
-        refuseQueued(kind)
+        try {
+            driver.close(kind, detail)
+        } finally {
+            finished = kind
+            refuseQueued(kind)
+        }
     }
 
     private fun refuseQueued(kind: ErrorKind) {
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
@@ -116,8 +116,9 @@
     private fun newCall(answer: Answer): CallId = (++lastCall).also { calls[it] = answer }
 
     private tailrec fun carryOut(effects: Effects) {
-        effects.early.forEach(::transmit)
+        // Before anything leaves, so that a call whose entry may have left is never said not to have run.
         effects.accepted.forEach { waiting[it.index] = Waiting(it.term, calls.remove(it.call) ?: return@forEach) }
+        effects.early.forEach(::transmit)
         persist(effects).onFailure { return halt(ErrorKind.StorageFailed, it.detail) }
         effects.late.forEach(::transmit)
         effects.install?.let { restore(it.index, it.state) }
--- a/consensus/src/test/kotlin/io/carawaytrack/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/ReplicaTest.kt
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
+import strikt.api.expectThrows
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
@@ -279,6 +280,19 @@
             }
         }
 
+    @Test
+    fun `a call whose entry may have left is never said not to have run`() {
+        val leader = group.electLeader()
+        val proposal = group.propose(leader, "a")
+        group.sendThrows = true
+        expectThrows<IllegalStateException> { group.run(millis = 5) }
+        leader.driver!!.close(ErrorKind.Internal, "the thread threw")
+        expectThat(proposal.failure)
+            .isNotNull()
+            .get { kind to execution }
+            .isEqualTo(ErrorKind.Internal to Execution.MayHaveRun)
+    }
+
     @Test
     fun `followers that cannot sync acknowledge nothing`() {
         val leader = group.electLeader()
--- a/consensus/src/test/kotlin/io/carawaytrack/consensus/TestGroup.kt
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/TestGroup.kt
@@ -106,6 +106,7 @@
     var longestDelayMillis = 3L
     var lossPercent = 0
     var duplicatePercent = 0
+    var sendThrows = false
     var largestMessageBytes = 0
         private set
     private val network = PriorityQueue<Travelling>(compareBy({ it.atMillis }, { it.number }))
@@ -262,6 +263,7 @@
         to: NodeId,
         payload: ByteArray,
     ) {
+        check(!sendThrows) { "injected: send to $to" }
         largestMessageBytes = maxOf(largestMessageBytes, payload.size)
         if (random.nextInt(PERCENT) < lossPercent) return
         val copies = if (random.nextInt(PERCENT) < duplicatePercent) 2 else 1
--- a/storage/src/test/kotlin/io/carawaytrack/storage/LogStoreTest.kt
+++ b/storage/src/test/kotlin/io/carawaytrack/storage/LogStoreTest.kt
@@ -88,17 +88,23 @@
         expectThat(recover().entries.map(::describe)).isEqualTo(described(6..7, term = 2))
     }
 
-    @Test
-    fun `a crash between an installed snapshot and the drop of the log is completed on opening`() {
-        initialise()
-        open().use { it.append(entries(1..9, term = 1)).unwrap() }
-        val limited = FaultyDisk(openFileDisk(folder).unwrap(), refuse = { call -> call == "open log-2" })
-        openLogStore(limited, "test", node).unwrap().store.use { store ->
-            val installed = store.installSnapshot(StoredSnapshot(5, 2, ByteArray(0), ByteArray(0)))
-            expectThat(installed.getError()).isNotNull().isA<StorageFailure.DiskFailed>()
+    @TestFactory
+    fun `an installed snapshot whose drop of the log was interrupted is completed on opening`() =
+        listOf("open log-11", "append log-11", "sync log-11", "delete log-1", "delete log-4").map { refused ->
+            dynamicTest("$refused refused") {
+                Files.list(folder).use { it.toList() }.forEach(Files::delete)
+                initialise()
+                open(segmentBytes = 64).use { store ->
+                    (1..20).forEach { store.append(entries(it..it, term = 1)).unwrap() }
+                }
+                val disk = FaultyDisk(openFileDisk(folder).unwrap()) { it == refused }
+                openLogStore(disk, "test", node, segmentBytes = 64).unwrap().store.use { store ->
+                    val installed = store.installSnapshot(StoredSnapshot(2, 2, ByteArray(0), ByteArray(0)))
+                    expectThat(installed.getError()).isNotNull().isA<StorageFailure.DiskFailed>()
+                }
+                repeat(2) { expectThat(recover().entries).hasSize(0) }
+            }
         }
-        repeat(2) { expectThat(recover().entries).hasSize(0) }
-    }
 
     @TestFactory
     fun `a last write cut at any byte is cut off and everything before it is kept`() = run {
@@ -297,6 +303,11 @@
         disk.replace(name, content)
     }
 
+    override fun delete(name: String) {
+        attempt("delete", name)
+        disk.delete(name)
+    }
+
     private fun attempt(
         call: String,
         name: String,
