Tell a pause of the host from a relapse in slow start

Cause: on the whole path (three control hosts, an agent, an entry and an engine stand-in, 40 callers, host with a load average above 30) the agent's permits fell from 32 to 6 and to 5 although the engine had not restarted. One pause slows every request that runs at that moment, and three of them in a row were taken as a relapse.

Ruled out: more signs in a row (32 requests give 32 of them); a longer factor (a pause has no bound).

Change: three slow requests halve the permits; only three more that began after that are a relapse. Failures in a row and a seen restart fall back as before.

--- a/limits/src/main/kotlin/io/carawaytrack/limits/SlowStart.kt
+++ b/limits/src/main/kotlin/io/carawaytrack/limits/SlowStart.kt
@@ -16,7 +16,8 @@
  * @property goodFactor a round is good while its time per token is within this factor of the learned one
  * @property improvingRatio an upstream whose time per token still falls below this part of the last round's is warming
  * @property relapseFactor a request beyond this factor of the learned time per token is a sign of a relapse
- * @property relapseSigns signs or failures in a row that make a relapse
+ * @property relapseSigns failures in a row that make a relapse, and signs in a row that halve the permits; as many
+ * signs in a row by requests that began after that make a relapse too
  */
 public data class SlowStartSettings(
     val startPermits: Int = 1,
@@ -64,6 +65,8 @@
     private var startedAtMillis = nowMillis()
     private var proven = settings.startPermits
     private var signs = 0
+    private var failures = 0
+    private var suspectedAtMillis: Long? = null
     private var learnedMillis: Double? = null
     private var lastRoundMillis: Double? = null
     private var roundMillis = 0.0
@@ -79,14 +82,20 @@
     ): Unit = synchronized(lock) {
         val tokenMillis = millisPerToken(latencyMillis, tokens)
         val learned = learnedMillis
-        if (learned != null && tokenMillis > learned * settings.relapseFactor) return sign()
+        val beganAtMillis = nowMillis() - latencyMillis
+        failures = 0
+        if (learned != null && tokenMillis > learned * settings.relapseFactor) return sign(beganAtMillis)
         signs = 0
+        if (beganAtMillis >= (suspectedAtMillis ?: Long.MAX_VALUE)) suspectedAtMillis = null
         roundMillis += tokenMillis
         roundSize += 1
         if (roundSize >= maxOf(SMALLEST_ROUND, currentPermits())) endRound()
     }
 
-    override fun failed(): Unit = synchronized(lock) { sign() }
+    override fun failed(): Unit = synchronized(lock) {
+        failures += 1
+        if (failures >= settings.relapseSigns) fallBack()
+    }
 
     override fun restarted(): Unit = synchronized(lock) { fallBack() }
 
@@ -97,15 +106,27 @@
         return minOf(proven, ramp)
     }
 
-    private fun sign() {
+    /**
+     * Takes in a slow request. One pause of the upstream or the host slows all that run at that moment, so they can
+     * only make it a suspect; it has relapsed if requests that began later are slow as well.
+     */
+    private fun sign(beganAtMillis: Long) {
+        if (beganAtMillis < (suspectedAtMillis ?: Long.MIN_VALUE)) return
         signs += 1
-        if (signs >= settings.relapseSigns) fallBack()
+        if (signs < settings.relapseSigns) return
+        if (suspectedAtMillis != null) return fallBack()
+        signs = 0
+        suspectedAtMillis = nowMillis()
+        proven = maxOf(settings.startPermits, currentPermits() / 2)
+        clearRound()
     }
 
     private fun fallBack() {
         startedAtMillis = nowMillis()
         proven = settings.startPermits
         signs = 0
+        failures = 0
+        suspectedAtMillis = null
         lastRoundMillis = null
         clearRound()
     }
