--- a/demo/src/main/kotlin/io/carawaytrack/demo/DemoClient.kt
+++ b/demo/src/main/kotlin/io/carawaytrack/demo/DemoClient.kt
@@ -30,8 +30,12 @@
 private const val POLL_MILLIS = 100L
 private const val WAIT_MILLIS = 60_000L
 
-/** What an entry answered. */
-internal data class CallerAnswer(
+/**
+ * Holds what an entry answered.
+ *
+ * @property repeated whether the answer was recorded earlier
+ */
+public data class CallerAnswer(
     val status: Int,
     val version: String?,
     val upstream: String?,
@@ -40,13 +44,18 @@
     val body: String,
 )
 
-internal class DemoClient(
+/** Calls a deployment that [planDemo] laid out in [folder]. */
+public class DemoClient(
     folder: Path,
 ) : AutoCloseable {
-    val addresses: DemoAddresses = DemoAddresses.read(folder)
+    /** Addresses of the deployment. */
+    public val addresses: DemoAddresses = DemoAddresses.read(folder)
+
+    /** Bearer key of the demo's organisation. */
+    public val callerKey: String = Files.readString(folder.resolve(CALLER_KEY_FILE))
 
-    private val callerKey = Files.readString(folder.resolve(CALLER_KEY_FILE))
-    private val operatorToken = Files.readString(folder.resolve(OPERATOR_TOKEN_FILE))
+    /** Token of the demo's operator. */
+    public val operatorToken: String = Files.readString(folder.resolve(OPERATOR_TOKEN_FILE))
     private val json = Json { ignoreUnknownKeys = true }
     private val http =
         HttpClient(CIO) {
@@ -54,7 +63,7 @@
         }
 
     /** Posts [body] to the entry number [entry]. */
-    suspend fun call(
+    public suspend fun call(
         entry: Int,
         path: String,
         body: String,
@@ -78,7 +87,7 @@
     }
 
     /** Makes one change; the same operation goes to each control host until the leading one takes it. */
-    suspend fun change(change: ConfigurationChange): Long {
+    public suspend fun change(change: ConfigurationChange): Long {
         val request = ChangeRequest(operationId = UUID.randomUUID().toString(), change = change)
         val body = json.encodeToString(ChangeRequest.serializer(), request)
         val answer =
@@ -93,7 +102,8 @@
         return json.decodeFromString<ChangeReply>(answer).number
     }
 
-    suspend fun status(): StatusReport? {
+    /** Returns what the leading control host reports, null when none answers. */
+    public suspend fun status(): StatusReport? {
         val answer =
             administrate { address ->
                 http.get("http://$address/v1/status") { header(HttpHeaders.Authorization, "Bearer $operatorToken") }
@@ -109,10 +119,12 @@
         return null
     }
 
-    suspend fun upstreamCounters(upstream: String): String =
+    /** Returns the counters of the stand-in of [upstream] as JSON. */
+    public suspend fun upstreamCounters(upstream: String): String =
         http.get("http://${addresses.upstreams.getValue(upstream)}/counters").bodyAsText()
 
-    suspend fun ready(node: String): Boolean {
+    /** Returns whether [node] says that it is ready. */
+    public suspend fun ready(node: String): Boolean {
         val address = addresses.observability.getValue(node)
         return reached { http.get("http://$address/readyz") }?.status?.isSuccess() ?: false
     }
@@ -124,7 +136,7 @@
     }
 
     /** Waits until [condition] holds; fails the demo when it does not. */
-    suspend fun until(
+    public suspend fun until(
         what: String,
         condition: suspend () -> Boolean,
     ) {
--- a/demo/src/main/kotlin/io/carawaytrack/demo/DemoPlan.kt
+++ b/demo/src/main/kotlin/io/carawaytrack/demo/DemoPlan.kt
@@ -22,15 +22,45 @@
 private const val PROCESSES_FILE = "processes"
 private const val KEY_BYTES = 24
 
-/** Describes an upstream of the demo; an engine serves a model, a plain service serves `stock`. */
-private data class DemoUpstream(
+/**
+ * Describes an upstream of the demo; an engine serves a model, a plain service serves `stock`.
+ *
+ * @property model model that an engine serves, null for a plain service
+ * @property standInOptions further options of the stand-in's command line
+ */
+public data class DemoUpstream(
     val id: String,
     val zone: String,
     val model: String?,
     val version: String,
+    val standInOptions: String = "",
+)
+
+/**
+ * Describes what a deployment consists of beside its three control hosts.
+ *
+ * @property entryZones zones of the entries, one entry for each
+ * @property entrySettings further lines of each entry's settings file
+ */
+public data class DemoLayout(
+    val upstreams: List<DemoUpstream> = demoUpstreams,
+    val entryZones: List<String> = listOf("zone-1", "zone-2"),
+    val entrySettings: String = "",
 )
 
-private val upstreams =
+/** Names a process and the command that starts it; a name that ends with `-init` runs once, before the others. */
+public data class DemoProcess(
+    val name: String,
+    val command: String,
+)
+
+/** Writes settings, keys and tables into [folder] and returns the processes in the order of their start. */
+public fun planDemo(
+    folder: Path,
+    layout: DemoLayout = DemoLayout(),
+): List<DemoProcess> = DemoPlan(folder, layout).write()
+
+private val demoUpstreams =
     listOf(
         DemoUpstream("quill-small-a", "zone-1", "quill-small", "1"),
         DemoUpstream("quill-small-b", "zone-2", "quill-small", "1"),
@@ -41,27 +71,28 @@
     )
 
 private val controlNodes = listOf("control-1" to "zone-1", "control-2" to "zone-2", "control-3" to "zone-3")
-private val entryNodes = listOf("entry-1" to "zone-1", "entry-2" to "zone-2")
 
-internal class DemoPlan(
+private class DemoPlan(
     private val folder: Path,
+    private val layout: DemoLayout,
 ) {
-    private val processes = mutableListOf<String>()
+    private val processes = mutableListOf<DemoProcess>()
     private val addresses = DemoAddresses.Builder()
     private val ports = FreePorts()
     private val controlLinks = controlNodes.map { (node, _) -> node to ports.next() }
 
-    fun write() {
+    fun write(): List<DemoProcess> {
         Files.createDirectories(folder)
         writeSecrets()
         writeTables()
-        upstreams.forEach(::planStandIn)
+        layout.upstreams.forEach(::planStandIn)
         controlNodes.forEach { (node, zone) -> planControl(node, zone) }
-        upstreams.forEach(::planAgent)
-        entryNodes.forEach { (node, zone) -> planEntry(node, zone) }
+        layout.upstreams.forEach(::planAgent)
+        layout.entryZones.forEachIndexed { index, zone -> planEntry("entry-${index + 1}", zone) }
         ports.release()
         Files.writeString(folder.resolve(ADDRESSES_FILE), addresses.toJson())
-        Files.write(folder.resolve(PROCESSES_FILE), processes)
+        Files.write(folder.resolve(PROCESSES_FILE), processes.map { "${it.name} ${it.command}" })
+        return processes
     }
 
     private fun writeSecrets() {
@@ -91,7 +122,7 @@
             } else {
                 "engine --port $port --model ${upstream.model} --version ${upstream.version}"
             }
-        process("standin-${upstream.id}", "caraway-standin $command")
+        process("standin-${upstream.id}", "caraway-standin $command ${upstream.standInOptions}".trim())
     }
 
     private fun planControl(
@@ -99,6 +130,7 @@
         zone: String,
     ) {
         val link = controlLinks.first { it.first == node }.second
+        addresses.controlLinks += "$LOOPBACK:$link"
         val admin = ports.next()
         addresses.administration += "$LOOPBACK:$admin"
         val members = controlLinks.joinToString("\n") { (name, port) -> "$name = \"$LOOPBACK:$port\"" }
@@ -147,6 +179,7 @@
             """
             |caller_address = "$LOOPBACK:$caller"
             |control_addresses = [${controlList()}]
+            |${layout.entrySettings}
             """.trimMargin()
         process(node, "caraway-entry --settings ${settingsFile(node, zone, settings)}")
     }
@@ -178,7 +211,7 @@
         name: String,
         command: String,
     ) {
-        processes += "$name $command"
+        processes += DemoProcess(name, command)
     }
 }
 
--- a/demo/src/main/kotlin/io/carawaytrack/demo/Main.kt
+++ b/demo/src/main/kotlin/io/carawaytrack/demo/Main.kt
@@ -30,7 +30,7 @@
     private lateinit var folder: Path
 
     override fun call(): Int {
-        DemoPlan(folder.toAbsolutePath()).write()
+        planDemo(folder.toAbsolutePath())
         return 0
     }
 }
