--- a/control/src/main/kotlin/io/carawaytrack/control/HolderService.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/HolderService.kt
@@ -14,6 +14,8 @@
 import io.carawaytrack.model.LEASE_MILLIS
 import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.SuspectReport
+import io.carawaytrack.telemetry.ControlMetrics
 import io.carawaytrack.wire.ConfigurationPush
 import io.carawaytrack.wire.Heartbeat
 import io.carawaytrack.wire.LeaseGrant
@@ -34,17 +36,18 @@
     private val replica: Replica,
     private val state: ControlState,
     private val registry: HolderRegistry,
-    private val members: Map<NodeId, HostPort>,
+    private val members: () -> Map<NodeId, HostPort>,
+    private val metrics: ControlMetrics,
 ) {
-    private val links = ConcurrentHashMap.newKeySet<Link>()
+    private val links = ConcurrentHashMap<Link, HolderLink>()
 
     /** Sends [configuration] to every holder that is connected here. */
     fun push(configuration: Configuration) {
-        links.filter { it.peer.role != NodeRole.Control }.forEach { it.offer(ConfigurationPush(configuration)) }
+        links.keys.filter { it.peer.role != NodeRole.Control }.forEach { it.offer(ConfigurationPush(configuration)) }
     }
 
     suspend fun serve(link: Link) {
-        links += link
+        links[link] = HolderLink()
         try {
             coroutineScope { receiveAll(link) }
         } finally {
@@ -79,6 +82,7 @@
         }
         registry.lead(leading = true)
         registry.heard(link.peer, heartbeat)
+        metrics.heartbeat(link.peer.role)
         link.send(grant(link, heartbeat))
     }
 
@@ -95,9 +99,17 @@
             configurationNumber = configuration.number,
             configuration = configuration.takeIf { it.number > heartbeat.configurationNumber },
             membership = membership,
+            suspects = if (link.peer.role == NodeRole.Agent) suspectsFor(link) else emptyList(),
         )
     }
 
+    private fun suspectsFor(link: Link): List<SuspectReport> {
+        val held = links[link] ?: return emptyList()
+        val news = registry.suspectsSince(held.suspectsNumber)
+        held.suspectsNumber = news.number
+        return news.reports
+    }
+
     private suspend fun answer(
         link: Link,
         call: LedgerCall,
@@ -117,5 +129,11 @@
         return (decoded as? ControlReply.Recorded)?.reply?.encode()
     }
 
-    private fun leaderAddress(): HostPort? = replica.status().leader?.let(members::get)
+    private fun leaderAddress(): HostPort? = replica.status().leader?.let(members()::get)
+}
+
+/** What this host has told the holder at the other end of a link. */
+private class HolderLink {
+    @Volatile
+    var suspectsNumber = 0L
 }
--- a/ledger/src/main/kotlin/io/carawaytrack/ledger/Ledger.kt
+++ b/ledger/src/main/kotlin/io/carawaytrack/ledger/Ledger.kt
@@ -43,18 +43,32 @@
     val requests: Int,
     val sessions: Int,
     val bills: Int,
+    val openRequests: Int = 0,
 )
 
-/** Records one request. */
+private operator fun LedgerSize.plus(other: LedgerSize) = LedgerSize(
+    requests = requests + other.requests,
+    sessions = sessions + other.sessions,
+    bills = bills + other.bills,
+    openRequests = openRequests + other.openRequests,
+)
+
+/**
+ * Records one request.
+ *
+ * @property shared whether more than one entry has been allowed to run it, so that none can tell that nothing ran
+ */
 @Serializable
 public data class RequestRecord(
     val request: RequestId,
     val key: String?,
     val digest: Long,
+    val session: SessionId? = null,
     val version: ModelVersion,
     val repeatable: Boolean,
     val timeoutMillis: Long,
     val beganAtMillis: Long,
+    val shared: Boolean = false,
     val finished: Boolean = false,
     val answer: StoredAnswer? = null,
 )
@@ -104,9 +118,7 @@
 
     override fun size(): LedgerSize = shards
         .map(LedgerShard::size)
-        .fold(LedgerSize(0, 0, 0)) { sum, shard ->
-            LedgerSize(sum.requests + shard.requests, sum.sessions + shard.sessions, sum.bills + shard.bills)
-        }
+        .fold(LedgerSize(0, 0, 0), LedgerSize::plus)
 
     override fun snapshot(): LedgerSnapshot = LedgerSnapshot(shards.flatMap(LedgerShard::records))
 
@@ -137,6 +149,7 @@
             held.sumOf(OrganisationLedger::requestCount),
             held.sumOf(OrganisationLedger::sessionCount),
             held.sumOf(OrganisationLedger::billCount),
+            held.sumOf(OrganisationLedger::openCount),
         )
     }
 
