Count failures of slow start over requests that began before them

Cause: on the whole path an engine that fell back into a cold start fell over six more times, while 402 requests ended 502 (2,211 in all): with 32 requests at once, some that began earlier still complete between the failures and took them off the count.

Ruled out: a count within a time window (one more constant; the latency of what runs is the time that matters).

Change: only a request that began after the first failure and completes takes the failures off the count.

Measured: the two new cases; module limits 100 cases passed, formatter and linter green (`mvn -o -B -q -T4 -pl limits -am verify`); ColdStartRunTest as before.

--- a/limits/src/main/kotlin/io/carawaytrack/limits/SlowStart.kt
+++ b/limits/src/main/kotlin/io/carawaytrack/limits/SlowStart.kt
@@ -16,8 +16,8 @@
  * @property goodFactor a round is good while its time per token is within this factor of the learned one
  * @property improvingRatio an upstream whose time per token still falls below this part of the last round's is warming
  * @property relapseFactor a request beyond this factor of the learned time per token is a sign of a relapse
- * @property relapseSigns failures in a row that make a relapse, and signs in a row that halve the permits; as many
- * signs in a row by requests that began after that make a relapse too
+ * @property relapseSigns failures that make a relapse, unless a request that began after the first one completes; signs
+ * in a row that halve the permits; signs in a row, by requests that began after that, that make a relapse too
  */
 public data class SlowStartSettings(
     val startPermits: Int = 1,
@@ -66,6 +66,7 @@
     private var proven = settings.startPermits
     private var signs = 0
     private var failures = 0
+    private var firstFailureMillis = 0L
     private var suspectedAtMillis: Long? = null
     private var learnedMillis: Double? = null
     private var lastRoundMillis: Double? = null
@@ -83,7 +84,7 @@
         val tokenMillis = millisPerToken(latencyMillis, tokens)
         val learned = learnedMillis
         val beganAtMillis = nowMillis() - latencyMillis
-        failures = 0
+        if (beganAtMillis >= firstFailureMillis) failures = 0
         if (learned != null && tokenMillis > learned * settings.relapseFactor) return sign(beganAtMillis)
         signs = 0
         if (beganAtMillis >= (suspectedAtMillis ?: Long.MAX_VALUE)) suspectedAtMillis = null
@@ -93,6 +94,7 @@
     }
 
     override fun failed(): Unit = synchronized(lock) {
+        if (failures == 0) firstFailureMillis = nowMillis()
         failures += 1
         if (failures >= settings.relapseSigns) fallBack()
     }
--- a/limits/src/test/kotlin/io/carawaytrack/limits/SlowStartTest.kt
+++ b/limits/src/test/kotlin/io/carawaytrack/limits/SlowStartTest.kt
@@ -83,6 +83,20 @@
                 warmUp()
                 repeat(3) { slowStart.failed() }
             },
+            Case("failures between requests that began before them are a relapse", 2..2) {
+                warmUp()
+                repeat(3) {
+                    slowStart.failed()
+                    complete(1, tokenMillis = 10, eachMillis = 1)
+                }
+            },
+            Case("failures between requests that began after them are no relapse", 16..16) {
+                warmUp()
+                repeat(6) {
+                    slowStart.failed()
+                    complete(1, tokenMillis = 10, eachMillis = 1_000)
+                }
+            },
             Case("a restart takes the permits back at once", 2..2) {
                 warmUp()
                 slowStart.restarted()
