--- a/replay/src/main/kotlin/io/carawaytrack/replay/Deployments.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/Deployments.kt
@@ -192,7 +192,7 @@
                 max to TrueQuality(best = 0.97, slope = 0.12),
                 ledgerService to TrueQuality(best = 1.0, slope = 0.0),
             ),
-        peakPerSecond = 10.0,
+        peakPerSecond = 16.0,
         oneWayMillis = 0.5,
         zoneToLose = zones[0],
         rolloutFrom = mid,
--- a/replay/src/main/kotlin/io/carawaytrack/replay/Main.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/Main.kt
@@ -56,6 +56,9 @@
     @Option(names = ["--seconds"], description = ["length of the measured part of a made trace"])
     private var seconds: Long? = null
 
+    @Option(names = ["--warm-up-seconds"], description = ["time before the measured part of a made trace"])
+    private var warmUpSeconds: Long? = null
+
     @Option(names = ["--policy"], description = ["policies to run beside the current one (default: all)"])
     private var policyNames: Set<String> = policies.map { it.name }.toSet()
 
@@ -70,10 +73,12 @@
     private fun trace(): Result<Trace, TraceFault> {
         val path = tracePath
         if (path != null) return readTrace(path)
-        val lengthMillis = seconds?.let { it * MILLIS_PER_SECOND.toLong() } ?: scenario.measuredMillis
-        return Ok(makeTrace(deployment, scenario, seed, lengthMillis))
+        val lengthMillis = millis(seconds) ?: scenario.measuredMillis
+        return Ok(makeTrace(deployment, scenario, seed, lengthMillis, millis(warmUpSeconds) ?: scenario.warmUpMillis))
     }
 
+    private fun millis(seconds: Long?): Long? = seconds?.let { it * MILLIS_PER_SECOND.toLong() }
+
     private fun play(trace: Trace): Int {
         writtenTracePath?.let { writeTrace(trace, it) }
         val replay = replay(trace, seed, policyNames)
--- a/replay/src/main/kotlin/io/carawaytrack/replay/TraceMaker.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/TraceMaker.kt
@@ -8,12 +8,16 @@
 import kotlin.math.pow
 import kotlin.random.Random
 
-/** Makes the trace of [scenario] on [deployment] from [seed]; [lengthMillis] bounds the measured part. */
+/**
+ * Makes the trace of [scenario] on [deployment] from [seed]; nothing is measured for [warmUpMillis], and then for
+ * [lengthMillis].
+ */
 public fun makeTrace(
     deployment: Deployment,
     scenario: Scenario,
     seed: Long,
     lengthMillis: Long = scenario.measuredMillis,
+    warmUpMillis: Long = scenario.warmUpMillis,
 ): Trace {
     val header =
         TraceHeader(
@@ -21,8 +25,8 @@
             deployment = deployment,
             scenario = scenario,
             seed = seed,
-            warmUpMillis = scenario.warmUpMillis,
-            endMillis = scenario.warmUpMillis + lengthMillis,
+            warmUpMillis = warmUpMillis,
+            endMillis = warmUpMillis + lengthMillis,
         )
     return Trace(header, TraceMaker(header, Random(seed)).requests())
 }
--- /dev/null
+++ b/replay/src/test/kotlin/io/carawaytrack/replay/ReplayTest.kt
@@ -0,0 +1,135 @@
+/*
+ * Replays of committed traces against their stated outcomes, and the pieces that the outcomes rest on.
+ */
+package io.carawaytrack.replay
+
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isTrue
+import java.nio.file.Path
+import kotlin.io.path.exists
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+
+class ReplayTest {
+    private val traces = Path.of("traces")
+
+    @TestFactory
+    fun `replay of a committed trace has its stated outcome`(): List<DynamicTest> =
+        listOf("penmark-quiet", "sajha-quiet").map { name ->
+            dynamicTest(name) {
+                val trace = readTrace(traces.resolve("$name.jsonl")).getOrElse { error(it.detail) }
+                val report = replay(trace, seed = 1, names = setOf("strongest")).report
+                expectThat(report.asJson().trim()).isEqualTo(traces.resolve("$name.outcome.json").readText().trim())
+            }
+        }
+
+    private data class Fault(
+        val name: String,
+        val text: String,
+        val line: Int,
+    )
+
+    private val header =
+        """{"origin":"Recorded","deployment":"Sajha","scenario":"Peak","warmUpMillis":0,"endMillis":1000}"""
+
+    private val faults =
+        listOf(
+            Fault("an empty file", "", 1),
+            Fault("a header of another format", header.replace("{\"origin", "{\"format\":\"other/1\",\"origin"), 1),
+            Fault("a line that is no request", "$header\n{\"id\":1}", 2),
+        )
+
+    @TestFactory
+    fun `readTrace names the line of`(
+        @TempDir folder: Path,
+    ): List<DynamicTest> = faults.map { fault ->
+        dynamicTest(fault.name) {
+            val path = folder.resolve("trace.jsonl").also { it.writeText(fault.text) }
+            expectThat(readTrace(path).getError()?.line).isEqualTo(fault.line)
+        }
+    }
+
+    @Test
+    fun `makeTrace and writeTrace give the same trace for the same seed`(
+        @TempDir folder: Path,
+    ) {
+        val trace = makeTrace(Deployment.Sajha, Scenario.Flood, seed = 5, lengthMillis = 200_000, warmUpMillis = 0)
+        expectThat(makeTrace(Deployment.Sajha, Scenario.Flood, 5, 200_000, 0)).isEqualTo(trace)
+        writeTrace(trace, folder.resolve("t"))
+        expectThat(readTrace(folder.resolve("t")).getOrElse { error(it.detail) }).isEqualTo(trace)
+        expectThat(trace.requests.count { it.flood }).isGreaterThan(0)
+    }
+
+    @Test
+    fun `an engine shares its speed among streams and tips over when too many join while it is cold`() {
+        val events = EventQueue()
+        val engine = EngineModel(EngineSpec(tokensPerSecond = 100.0, slowdown = 1.0, coldStreams = 1), events)
+        val ends = mutableListOf<Pair<Long, Boolean>>()
+        val submit = { engine.submit(EngineStream(0, 99, {}) { ends += events.nowMillis.toLong() to it }) }
+        repeat(2) { submit() }
+        events.run(10_000.0)
+        expectThat(ends.toList()).isEqualTo(listOf(2_000L to true, 2_000L to true))
+        engine.restart()
+        ends.clear()
+        repeat(2) { submit() }
+        expectThat(ends.map { it.second }).isEqualTo(listOf(false, false))
+        expectThat(engine.tippedOver).isEqualTo(1)
+    }
+
+    @Test
+    fun `the command writes a report and a plot and refuses a trace that is not there to be read`(
+        @TempDir folder: Path,
+    ) {
+        val plot = folder.resolve("plot.svg")
+        val short = arrayOf("--warm-up-seconds", "5", "--seconds", "20", "--policy", "strongest")
+        expectThat(replayCommandLine().execute(*short, "--output", "json", "--plot", "$plot")).isEqualTo(0)
+        expectThat(plot.exists()).isTrue()
+        val empty = folder.resolve("empty").also { it.writeText("") }
+        expectThat(replayCommandLine().execute("--trace", "$empty")).isEqualTo(1)
+        expectThat(replayCommandLine().execute("--scenario", "unknown")).isEqualTo(2)
+    }
+
+    private data class CostCase(
+        val cost: Double,
+        val quality: Double,
+        val expected: Boolean,
+    )
+
+    @TestFactory
+    fun `the cost target is met only at sixty percent and at the quality target`(): List<DynamicTest> =
+        listOf(CostCase(0.6, 0.9, true), CostCase(0.61, 0.9, false), CostCase(0.3, 0.79, false)).map { case ->
+            dynamicTest("$case") {
+                val current = measures("current", case.cost, case.quality)
+                val inputs = mapOf("current" to current, "strongest" to measures("strongest", 1.0, 0.9))
+                val check = checkTargets(TargetInputs(Scenario.Peak, inputs, reference = null)).single()
+                expectThat(check.met).isEqualTo(case.expected)
+            }
+        }
+
+    @Test
+    fun `a target whose reference was not run is not called met`() {
+        val inputs = TargetInputs(Scenario.Peak, mapOf("current" to measures("current", 0.1, 0.9)), reference = null)
+        expectThat(checkTargets(inputs).single().met).isEqualTo(null)
+        expectThat(checkTargets(inputs).any { it.met == true }).isFalse()
+    }
+
+    private fun measures(
+        policy: String,
+        cost: Double,
+        quality: Double,
+    ): Measures {
+        val none = Quantiles(0, 0)
+        val routes = listOf(RouteMeasures("draft", 1, targetQuality = 0.8, meanQuality = quality, meanCost = cost))
+        return Measures(policy, 1, 0, 0, cost, none, none, none, none, 0, 0, 0, 0.0, routes)
+    }
+}
