Stop by signal handlers, so that no stream of a stopping entry is cut

Cause: the shutdown was started from a hook of the Java machine. All hooks run side by side, and the HTTP server's own hook closed the callers' port at once and cut what it had not sent after its grace of a second. Besides, an exit from within the serving function waited for a hook that waited for that function, and the exit code was that of the signal. Ruled out: the slow reader's window; the stream of the entry that was not stopped came whole through the stopped agent. Change: SIGTERM and SIGINT are handled before the machine acts on them, and the entry's server gets the drain time for answers that are queued but not sent. Added: tests that an unreadable link secret ends each binary with exit code 2.

--- a/e2e/src/test/kotlin/io/carawaytrack/e2e/BadInputsTest.kt
+++ b/e2e/src/test/kotlin/io/carawaytrack/e2e/BadInputsTest.kt
@@ -129,6 +129,21 @@
             }
         }
 
+    @TestFactory
+    fun `a link secret that cannot be read stops the process with exit code 2`(): List<DynamicTest> =
+        mapOf("entry-1" to "caraway-entry", "agent-$ENGINE_A" to "caraway-agent", "control-1" to "caraway-control run")
+            .map { (node, command) ->
+                dynamicTest(node) {
+                    val settings = Files.readString(deployment.folder.resolve("$node.toml"))
+                    val file = deployment.folder.resolve("$node-no-secret.toml")
+                    Files.writeString(file, settings.replace(Regex("secret_file = .*"), "secret_file = \"/no-such\""))
+                    val name = "$node-no-secret"
+                    val process = launch(deployment.folder, name, "$command --settings $file")
+                    expectThat(process.exitCodeOf(name)).isEqualTo(SETTINGS_EXIT_CODE)
+                    expectThat(Files.readString(deployment.folder.resolve("$name.log"))).contains("/no-such")
+                }
+            }
+
     @Test
     fun `a wrong operator token is refused by every control host`() {
         controlHosts.indices.forEach { host ->
--- a/entry/src/main/kotlin/io/carawaytrack/entry/Entry.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Entry.kt
@@ -71,7 +71,8 @@
             logger.info { "entry ${process.node} listens on ${settings.callerAddress}" }
             awaitStop()
             stop(api)
-            server.stop()
+            // A request is no longer open once its answer is queued; the server has yet to send it to a slow caller.
+            server.stop(gracePeriodMillis = process.drainMillis, timeoutMillis = process.drainMillis)
         }
         close()
     }
--- a/process/src/main/kotlin/io/carawaytrack/process/GracefulStop.kt
+++ b/process/src/main/kotlin/io/carawaytrack/process/GracefulStop.kt
@@ -6,25 +6,20 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
-import java.util.concurrent.CountDownLatch
+import sun.misc.Signal
 
-/** Runs [serve] until it returns; it is handed a function that waits for the signal to stop. */
+private val stopSignals = listOf("TERM", "INT")
+
+/**
+ * Runs [serve] until it returns; it is handed a function that waits for the signal to stop.
+ *
+ * The signals are taken before the Java machine acts on them: its shutdown hooks run side by side, and that of an HTTP
+ * server would cut the answers that are still being sent.
+ */
 public fun runUntilStopped(serve: suspend (awaitStop: suspend () -> Unit) -> Unit) {
-    // Ktor would close every server at the signal, while the process still answers what is open.
-    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
     val stop = CompletableDeferred<Unit>()
-    val done = CountDownLatch(1)
-    val hook =
-        Thread {
-            stop.complete(Unit)
-            done.await()
-        }
-    Runtime.getRuntime().addShutdownHook(hook)
-    try {
-        runBlocking { serve { stop.await() } }
-    } finally {
-        done.countDown()
-    }
+    stopSignals.forEach { name -> Signal.handle(Signal(name)) { stop.complete(Unit) } }
+    runBlocking { serve { stop.await() } }
 }
 
 /** Returns milliseconds on a clock that never goes back and keeps running while the process is frozen. */
