Count a server error as a sign of a cold upstream, and make the ramp a setting

Cause: the agent took any complete answer, a 503 too, as good evidence: it cleared failures and suspicion.

--- a/agent/src/main/kotlin/io/carawaytrack/agent/Agent.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/Agent.kt
@@ -104,6 +104,7 @@
             SlowStartSettings(
                 startPermits = minOf(settings.coldPermits, settings.maxPermits),
                 maxPermits = settings.maxPermits,
+                rampMillis = settings.rampMillis,
             )
         if (settings.kind == ServiceKind.Model) return byWarmth
         return byWarmth.copy(goodFactor = NO_RELAPSE_BY_LATENCY, relapseFactor = NO_RELAPSE_BY_LATENCY)
--- a/agent/src/main/kotlin/io/carawaytrack/agent/AgentSettings.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/AgentSettings.kt
@@ -19,6 +19,7 @@
  * @property versions what the upstream serves
  * @property maxPermits requests that the upstream bears at once when it is warm
  * @property coldPermits requests that it bears at once after a cold start
+ * @property rampMillis shortest time from a cold start to all permits; at least the longest cold start
  * @property settleMillis time after which the agent itself commits an outcome that no entry has settled
  */
 internal data class AgentSettings(
@@ -31,6 +32,7 @@
     val control: List<HostPort>,
     val maxPermits: Int,
     val coldPermits: Int,
+    val rampMillis: Long,
     val settleMillis: Long,
 )
 
@@ -38,13 +40,16 @@
 private const val DEFAULT_PERMITS = 32
 private const val DEFAULT_COLD_PERMITS = 4
 private const val MOST_PERMITS = 100_000
+private const val DEFAULT_RAMP_MILLIS = 10_000L
+private const val LONGEST_RAMP_MILLIS = 3_600_000L
 private const val DEFAULT_SETTLE_MILLIS = 10_000L
 private const val LONGEST_SETTLE_MILLIS = 3_600_000L
 
 internal fun SettingsReader.agentSettings(): AgentSettings {
+    val process = processSettings()
     val kind = choice("upstream.kind", setOf(MODEL_KIND, "service"), MODEL_KIND)
     return AgentSettings(
-        process = processSettings(),
+        process = process,
         upstream = UpstreamId(text("upstream.id")),
         upstreamAddress = address("upstream.address"),
         kind = if (kind == MODEL_KIND) ServiceKind.Model else ServiceKind.Service,
@@ -53,6 +58,7 @@
         control = addressList("control_addresses"),
         maxPermits = int("upstream.max_permits", 1..MOST_PERMITS, DEFAULT_PERMITS),
         coldPermits = int("upstream.cold_permits", 1..MOST_PERMITS, DEFAULT_COLD_PERMITS),
+        rampMillis = long("upstream.ramp_millis", 0..LONGEST_RAMP_MILLIS, DEFAULT_RAMP_MILLIS),
         settleMillis = long("settle_millis", 0..LONGEST_SETTLE_MILLIS, DEFAULT_SETTLE_MILLIS),
     )
 }
--- a/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamCondition.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamCondition.kt
@@ -21,6 +21,7 @@
 
 private val logger = KotlinLogging.logger {}
 
+private const val LOWEST_SERVER_ERROR = 500
 private const val PROBE_INTERVAL_MILLIS = 200L
 private const val DOWN_RETRY_AFTER_MILLIS = 1_000L
 
@@ -55,11 +56,11 @@
     ) {
         val failure = outcome?.failure
         if (failure?.kind == ErrorKind.UpstreamFailed) checkAlive()
-        quarantine.finished(fingerprint, completed = outcome != null && failure == null)
+        quarantine.finished(fingerprint, completed = outcome != null && outcome.served)
+        if (outcome == null) return
         when {
-            outcome == null -> return
-            failure == null -> slowStart.completed(outcome.elapsedMillis, outcome.tokens)
-            failure.execution != Execution.NotRun -> slowStart.failed()
+            outcome.served -> slowStart.completed(outcome.elapsedMillis, outcome.tokens)
+            failure?.execution != Execution.NotRun -> slowStart.failed()
         }
         onPermits()
     }
@@ -81,3 +82,7 @@
 }
 
 private val AttemptOutcome.tokens: Long get() = (usage.promptTokens + usage.answerTokens).coerceAtLeast(1)
+
+/** Whether the upstream did its work; one that falls over under load answers fast with a server error. */
+private val AttemptOutcome.served: Boolean
+    get() = failure == null && (answer?.status ?: 0) < LOWEST_SERVER_ERROR
--- a/bench/src/main/kotlin/io/carawaytrack/bench/CallerLoad.kt
+++ b/bench/src/main/kotlin/io/carawaytrack/bench/CallerLoad.kt
@@ -8,6 +8,7 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
 import io.ktor.client.request.preparePost
 import io.ktor.client.request.setBody
@@ -15,7 +16,8 @@
 import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.contentType
-import io.ktor.utils.io.readUTF8Line
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.readLine
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
@@ -93,9 +95,7 @@
         var ended = false
         client.preparePost("http://$target/v1/chat/completions") { chat() }.execute { response ->
             val body = response.bodyAsChannel()
-            while (true) {
-                val line = body.readUTF8Line() ?: break
-                if (!line.startsWith("data:")) continue
+            forEachEvent(body) { line ->
                 ended = line == END_EVENT
                 val now = System.nanoTime()
                 val histogram = if (lastNanos == sentNanos) firstToken else gap
@@ -106,7 +106,17 @@
         (if (ended) answers else failures).incrementAndGet()
     }
 
-    private fun io.ktor.client.request.HttpRequestBuilder.chat() {
+    private suspend fun forEachEvent(
+        body: ByteReadChannel,
+        onEvent: (String) -> Unit,
+    ) {
+        while (true) {
+            val line = body.readLine() ?: return
+            if (line.startsWith("data:")) onEvent(line)
+        }
+    }
+
+    private fun HttpRequestBuilder.chat() {
         key?.let { header(HttpHeaders.Authorization, "Bearer $it") }
         contentType(ContentType.Application.Json)
         setBody(
--- a/bench/src/main/kotlin/io/carawaytrack/bench/HolderLoad.kt
+++ b/bench/src/main/kotlin/io/carawaytrack/bench/HolderLoad.kt
@@ -22,6 +22,7 @@
 import kotlinx.serialization.Serializable
 
 private const val WARM_UP_MILLIS = 5_000L
+private const val PERMITS = 32
 private const val MILLIS_PER_SECOND = 1_000.0
 
 /** Processes for each entry among them: 340 entries and 1,800 agents make 2,140. */
@@ -90,7 +91,7 @@
         agentPort = 1,
         incarnation = 1,
         versions = listOf(ModelVersion("bench-model", "1")),
-        load = UpstreamLoad(permits = 32, running = beats % 32, queuedTokens = beats * 100L),
+        load = UpstreamLoad(permits = PERMITS, running = beats % PERMITS, queuedTokens = beats.toLong()),
     )
 }
 
--- a/bench/src/main/kotlin/io/carawaytrack/bench/StateSlopes.kt
+++ b/bench/src/main/kotlin/io/carawaytrack/bench/StateSlopes.kt
@@ -36,6 +36,14 @@
 private const val ANSWER_BYTES = 1_000
 private const val NANOS_PER_MICRO = 1_000.0
 private const val SETTLE_ROUNDS = 3
+private const val SOME_PERMITS = 32
+private const val SOME_RUNNING = 17
+private const val SOME_TOKENS = 12_345L
+private const val DIGEST_BYTES = 32
+private const val STATUS_OK = 200
+private const val PROMPT_TOKENS = 800L
+private const val ANSWER_TOKENS = 215L
+private const val UUID_TAIL_DIGITS = 12
 private const val SMALL_RUN = 10_000
 
 private val upstreamCounts = listOf(1, 50, 150, 450)
@@ -71,7 +79,7 @@
     agentPort = 7_400,
     incarnation = 1_764_800_000_000,
     versions = listOf(version),
-    load = UpstreamLoad(permits = 32, running = 17, queuedTokens = 12_345),
+    load = UpstreamLoad(permits = SOME_PERMITS, running = SOME_RUNNING, queuedTokens = SOME_TOKENS),
 )
 
 private fun grantBytes(count: Int): Point {
@@ -83,7 +91,11 @@
 private fun tableBytes(count: Int): Point {
     val organisations =
         List(count) { number ->
-            Organisation(OrganisationName("dealer-$number"), listOf("ab".repeat(32)), listOf("quill-small@*", "*@2"))
+            Organisation(
+                OrganisationName("dealer-$number"),
+                listOf("ab".repeat(DIGEST_BYTES)),
+                listOf("quill-small@*", "*@2"),
+            )
         }
     val routes =
         List(count) { number ->
@@ -120,12 +132,13 @@
 ) = LedgerCommand.Finish(
     organisation = organisation,
     request = requestId(number),
-    answer = if (keyed) StoredAnswer(200, "application/json", ByteArray(ANSWER_BYTES), version) else null,
-    bill = Bill(requestId(number), organisation, listOf(version), 800, 215, 2.03),
+    answer = if (keyed) StoredAnswer(STATUS_OK, "application/json", ByteArray(ANSWER_BYTES), version) else null,
+    bill = Bill(requestId(number), organisation, listOf(version), PROMPT_TOKENS, ANSWER_TOKENS, cost = 2.03),
     atMillis = 1_764_800_000_000,
 )
 
-private fun requestId(number: Int) = RequestId("6f1c2f6e-0000-4000-8000-${number.toString().padStart(12, '0')}")
+private fun requestId(number: Int) =
+    RequestId("6f1c2f6e-0000-4000-8000-${number.toString().padStart(UUID_TAIL_DIGITS, '0')}")
 
 private fun fill(
     count: Int,
--- a/tables/src/main/kotlin/io/carawaytrack/tables/TomlReader.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/TomlReader.kt
@@ -307,13 +307,11 @@
     private fun reportUnknownKeys() {
         val known = "a known key: " + asked.map(Toml::joinKeyPath).sorted().joinToString()
         val values = place.values().filterNot(::isKnown)
-        val emptyTables = place.emptyTables().filterNot { isKnown(it) || hasKnownKeys(it) }
+        val emptyTables = place.emptyTables().filterNot { isKnown(it) || asked.any { known -> known.startsWith(it) } }
         (values + emptyTables).forEach { path -> report(Toml.joinKeyPath(path), known) }
     }
 
     private fun isKnown(path: List<String>): Boolean = asked.any(path::startsWith)
-
-    private fun hasKnownKeys(path: List<String>): Boolean = asked.any { it.startsWith(path) }
 }
 
 private const val ADDRESS = "an address such as 127.0.0.1:7000"
