--- a/consensus/src/test/kotlin/io/carawaytrack/consensus/ReplicationBenchmark.kt
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/ReplicationBenchmark.kt
@@ -74,7 +74,7 @@
             nowMillis = { System.nanoTime() / 1_000_000 },
             random = Random.Default,
             onHalt = {},
-            settings = ReplicaSettings(snapshotEveryEntries = Int.MAX_VALUE),
+            settings = ReplicaSettings(snapshotEveryEntries = Int.MAX_VALUE, snapshotEveryBytes = Long.MAX_VALUE),
         ).unwrap()
     }
 
