--- a/membership/src/test/kotlin/io/carawaytrack/membership/ControlClientTest.kt
+++ b/membership/src/test/kotlin/io/carawaytrack/membership/ControlClientTest.kt
@@ -141,21 +141,20 @@
         )
 
     @TestFactory
-    fun `grants count only for the heartbeat and the configuration they name`(): List<DynamicTest> =
-        cases.map { case ->
-            dynamicTest(case.name) {
-                withHosts { link ->
-                    val first = link.sentOf<Heartbeat>()
-                    nowMillis.addAndGet(500)
-                    client.hurry()
-                    val second = link.sentOf<Heartbeat>()
-                    nowMillis.addAndGet(100)
-                    case.grants(first.sequence, second.sequence).forEach(link::deliver)
-                    link.settle(second)
-                    expectThat(client.lease.remainingMillis()).isEqualTo(case.remainingMillis)
-                }
+    fun `grants count only for the heartbeat and the configuration they name`(): List<DynamicTest> = cases.map { case ->
+        dynamicTest(case.name) {
+            withHosts { link ->
+                val first = link.sentOf<Heartbeat>()
+                nowMillis.addAndGet(500)
+                client.hurry()
+                val second = link.sentOf<Heartbeat>()
+                nowMillis.addAndGet(100)
+                case.grants(first.sequence, second.sequence).forEach(link::deliver)
+                link.settle(second)
+                expectThat(client.lease.remainingMillis()).isEqualTo(case.remainingMillis)
             }
         }
+    }
 
     @Test
     fun `the configuration never goes back, whichever way it comes`() = withHosts { link ->
