--- a/control/src/test/kotlin/io/carawaytrack/control/HolderTest.kt
+++ b/control/src/test/kotlin/io/carawaytrack/control/HolderTest.kt
@@ -23,9 +23,11 @@
 import io.carawaytrack.model.UpstreamLoad
 import io.carawaytrack.model.ZoneName
 import io.carawaytrack.model.notRun
+import io.carawaytrack.telemetry.ControlMetrics
 import io.carawaytrack.wire.Heartbeat
 import io.carawaytrack.wire.LeaseGrant
 import io.carawaytrack.wire.NotLeading
+import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
@@ -150,7 +152,9 @@
     fun `only a host whose quorum confirms it grants a lease`() = runTest {
         val replica = FakeReplica(leads = false)
         val leader = HostPort("127.0.0.1", 7)
-        val service = HolderService(replica, ControlState(), registry, mapOf(NodeId("c2") to leader))
+        val members = { mapOf(NodeId("c2") to leader) }
+        val metrics = ControlMetrics(PrometheusRegistry())
+        val service = HolderService(replica, ControlState(), registry, members, metrics)
         val link = FakeLink(testPeer("entry-1", NodeRole.Entry))
         val serving = launch { service.serve(link) }
         link.deliver(Heartbeat(1, 0))
