--- a/control/src/test/kotlin/io/carawaytrack/control/HolderTest.kt
+++ b/control/src/test/kotlin/io/carawaytrack/control/HolderTest.kt
@@ -148,16 +148,13 @@
         }
     }
 
-    private fun holderService(
-        replica: Replica,
-        members: Map<NodeId, HostPort>,
-    ) = HolderService(replica, ControlState(), registry, { members }, ControlMetrics(PrometheusRegistry()))
-
     @Test
     fun `only a host whose quorum confirms it grants a lease`() = runTest {
         val replica = FakeReplica(leads = false)
         val leader = HostPort("127.0.0.1", 7)
-        val service = holderService(replica, mapOf(NodeId("c2") to leader))
+        val members = { mapOf(NodeId("c2") to leader) }
+        val metrics = ControlMetrics(PrometheusRegistry())
+        val service = HolderService(replica, ControlState(), registry, members, metrics)
         val link = FakeLink(testPeer("entry-1", NodeRole.Entry))
         val serving = launch { service.serve(link) }
         link.deliver(Heartbeat(1, 0))
