Send what an agent holds against requests in its heartbeats

Cause: the heartbeat left out the agent's suspects, so no agent ever heard of the deaths that another one had counted, and a request that crashes engines was quarantined only after each engine had died three times. Change: a heartbeat carries the suspects when they have changed.

--- a/membership/src/main/kotlin/io/carawaytrack/membership/ControlClient.kt
+++ b/membership/src/main/kotlin/io/carawaytrack/membership/ControlClient.kt
@@ -196,6 +196,7 @@
         configurationNumber = configuration.number,
         announcement = ports.announcement(),
         membershipNumber = session.membershipNumber(membershipNumber),
+        suspects = ports.suspects()?.let(session::ifNews),
     )
 
     override fun hurry() {
