--- a/e2e/src/test/kotlin/io/carawaytrack/e2e/ChatFlow.kt
+++ b/e2e/src/test/kotlin/io/carawaytrack/e2e/ChatFlow.kt
@@ -1,5 +1,6 @@
 /*
- * A steady flow of chats, one after the other at each entry, and the check that each was answered or truthfully refused.
+ * A steady flow of chats, one after the other at each entry, and the check that each was answered or truthfully
+ * refused.
  */
 package io.carawaytrack.e2e
 
