--- a/agent/src/main/kotlin/io/carawaytrack/agent/EntryService.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/EntryService.kt
@@ -88,10 +88,10 @@
     ) {
         val runner = AttemptRunner(attempt, link::send, ::load, ports.nowMillis)
         refusal(attempt)?.let { return refuse(runner, it) }
-        runner.settled.invokeOnCompletion { attempts.remove(attempt.attempt) }
-        val job = scope.launch(start = CoroutineStart.LAZY) { admitAndRun(attempt, runner) }
+        // Begun here and now: an attempt that is cancelled before its first step would never give its answer.
+        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { admitAndRun(attempt, runner) }
         attempts[attempt.attempt] = RunningAttempt(attempt, runner, job)
-        job.start()
+        runner.settled.invokeOnCompletion { attempts.remove(attempt.attempt) }
     }
 
     private fun refusal(attempt: OpenAttempt): Failure? =
--- a/entry/src/main/kotlin/io/carawaytrack/entry/ChatBody.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/ChatBody.kt
@@ -20,6 +20,7 @@
 import kotlinx.serialization.json.longOrNull
 
 private const val BYTES_PER_TOKEN = 4
+private const val DEEPEST_NESTING = 64
 private const val DEFAULT_ANSWER_TOKENS = 256L
 
 internal class ChatBody private constructor(
@@ -41,6 +42,8 @@
 
     companion object {
         fun parse(bytes: ByteArray): Result<ChatBody, Failure> {
+            // The parser descends by recursion, so that deep nesting would exhaust the stack.
+            if (nesting(bytes) > DEEPEST_NESTING) return malformed("JSON nested at most $DEEPEST_NESTING deep")
             val fields =
                 try {
                     Json.parseToJsonElement(bytes.decodeToString()) as? JsonObject
@@ -56,3 +59,23 @@
         private fun malformed(expected: String) = Err(ErrorKind.MalformedRequest.notRun("expected $expected"))
     }
 }
+
+/** Counts how deep the objects and lists of a JSON text are nested, without parsing it. */
+private fun nesting(json: ByteArray): Int {
+    var depth = 0
+    var deepest = 0
+    var quoted = false
+    var escaped = false
+    for (byte in json) {
+        val character = byte.toInt().toChar()
+        when {
+            escaped -> escaped = false
+            quoted && character == '\\' -> escaped = true
+            character == '"' -> quoted = !quoted
+            quoted -> continue
+            character == '{' || character == '[' -> deepest = maxOf(deepest, ++depth)
+            character == '}' || character == ']' -> depth--
+        }
+    }
+    return deepest
+}
--- a/wire/src/main/kotlin/io/carawaytrack/wire/FrameCodec.kt
+++ b/wire/src/main/kotlin/io/carawaytrack/wire/FrameCodec.kt
@@ -6,8 +6,9 @@
 package io.carawaytrack.wire
 
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.runCatching
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.notRun
@@ -32,12 +33,10 @@
 public fun Message.encode(): ByteArray = cbor.encodeToByteArray(Message.serializer(), this)
 
 /** Decodes [bytes]; fails with `ProtocolViolation` when they are no message of this protocol. */
-public fun decodeMessage(bytes: ByteArray): Result<Message, Failure> = try {
-    Ok(cbor.decodeFromByteArray(Message.serializer(), bytes))
-} catch (malformed: IllegalArgumentException) {
-    // The CBOR decoder's own exceptions are subclasses of this one, and some inputs raise it bare.
-    Err(violation("a message of protocol $PROTOCOL_VERSION", malformed.message))
-}
+public fun decodeMessage(bytes: ByteArray): Result<Message, Failure> =
+    // The decoder reports malformed input by exceptions of many kinds, index errors among them.
+    runCatching { cbor.decodeFromByteArray(Message.serializer(), bytes) }
+        .mapError { violation("a message of protocol $PROTOCOL_VERSION", it.message) }
 
 internal suspend fun ByteWriteChannel.writeFrame(message: Message) {
     val payload = message.encode()
