--- a/consensus/src/test/kotlin/io/carawaytrack/consensus/HistoryTest.kt
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/HistoryTest.kt
@@ -65,7 +65,8 @@
         (1..SEEDS).map { seed -> dynamicTest("seed $seed") { runHistory(seed) } }
 
     private fun runHistory(seed: Int) {
-        val group = TestGroup(seed, size = if (seed % 2 == 0) 3 else 5)
+        val settings = testSettings.copy(snapshotEveryEntries = 8, keptEntries = 2)
+        val group = TestGroup(seed, size = if (seed % 2 == 0) 3 else 5, settings)
         val client = Client(group)
         repeat(STEPS) {
             disturb(group)
