--- a/replay/src/main/kotlin/io/carawaytrack/replay/Measures.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/Measures.kt
@@ -32,6 +32,8 @@
  * Measures one run.
  *
  * @property cost mean price of a model request
+ * @property smallOrganisationsUnserved requests of small organisations that were refused or failed
+ * @property fastReadersUnserved requests of callers who read at once that were refused or failed
  * @property exposed requests that ran on a version after it had turned bad
  * @property busyShare highest share of an upstream's best throughput that it was used for, over the whole run
  */
@@ -45,7 +47,9 @@
     val latency: Quantiles,
     val firstToken: Quantiles,
     val smallOrganisations: Quantiles,
+    val smallOrganisationsUnserved: Int,
     val fastReaders: Quantiles,
+    val fastReadersUnserved: Int,
     val exposed: Int,
     val refusedAtGate: Int,
     val tippedOver: Int,
@@ -71,6 +75,8 @@
         latency = quantiles(answered) { it.latencyMillis },
         firstToken = quantiles(answered) { it.firstTokenMillis },
         smallOrganisations = quantiles(answered.filter { isSmall(it.request.organisation) }) { it.latencyMillis },
+        smallOrganisationsUnserved = outcomes.unserved { isSmall(it.organisation) },
+        fastReadersUnserved = outcomes.unserved { it.readMillis == 0L },
         fastReaders = quantiles(answered.filter { it.request.readMillis == 0L }) { it.latencyMillis },
         exposed = run.outcomes.count { it.exposed },
         refusedAtGate = run.refusedAtGate,
@@ -107,6 +113,9 @@
     run.doneTokens.getValue(upstream.upstream) / (best * run.trace.header.endMillis / MILLIS_PER_SECOND)
 }
 
+private fun List<Outcome>.unserved(counts: (TraceRequest) -> Boolean): Int =
+    count { it.ending != Ending.Answered && counts(it.request) }
+
 private fun List<Outcome>.meanOf(value: (Outcome) -> Double): Double = if (isEmpty()) 0.0 else sumOf(value) / size
 
 private const val SIGNIFICANT_DIGITS = 3
--- a/replay/src/main/kotlin/io/carawaytrack/replay/Targets.kt
+++ b/replay/src/main/kotlin/io/carawaytrack/replay/Targets.kt
@@ -96,7 +96,7 @@
     inputs.current.fastReaders,
     inputs.reference?.fastReaders,
     FAST_READERS_FACTOR,
-)
+).unlessUnserved(inputs.current.fastReadersUnserved, inputs.reference?.fastReadersUnserved)
 
 private val memoryCheck =
     unchecked("memory held under its budget with half of all readers stalled", "not run: memory is not modelled here")
@@ -106,7 +106,16 @@
     inputs.current.smallOrganisations,
     inputs.reference?.smallOrganisations,
     SMALL_ORGANISATIONS_FACTOR,
-)
+).unlessUnserved(inputs.current.smallOrganisationsUnserved, inputs.reference?.smallOrganisationsUnserved)
+
+/** Misses the target when more requests went unserved than in the reference run, since those have no latency. */
+private fun TargetCheck.unlessUnserved(
+    seen: Int,
+    reference: Int?,
+): TargetCheck {
+    if (met == null || reference == null) return this
+    return copy(seen = "${this.seen}; unserved $seen, reference $reference", met = met && seen <= reference)
+}
 
 private fun latencyCheck(
     target: String,
--- a/replay/src/test/kotlin/io/carawaytrack/replay/ReplayTest.kt
+++ b/replay/src/test/kotlin/io/carawaytrack/replay/ReplayTest.kt
@@ -123,13 +123,21 @@
         expectThat(checkTargets(inputs).any { it.met == true }).isFalse()
     }
 
+    @Test
+    fun `the flood target is missed when small organisations go unserved however fast the others are`() {
+        val flooded = mapOf("current" to measures("current", 1.0, 0.9, unserved = 1))
+        val inputs = TargetInputs(Scenario.Flood, flooded, reference = measures("current", 1.0, 0.9))
+        expectThat(checkTargets(inputs).single().met).isEqualTo(false)
+    }
+
     private fun measures(
         policy: String,
         cost: Double,
         quality: Double,
+        unserved: Int = 0,
     ): Measures {
         val none = Quantiles(0, 0)
         val routes = listOf(RouteMeasures("draft", 1, targetQuality = 0.8, meanQuality = quality, meanCost = cost))
-        return Measures(policy, 1, 0, 0, cost, none, none, none, none, 0, 0, 0, 0.0, routes)
+        return Measures(policy, 1, 0, 0, cost, none, none, none, unserved, none, 0, 0, 0, 0, 0.0, routes)
     }
 }
