--- a/wire/src/main/kotlin/io/carawaytrack/wire/Message.kt
+++ b/wire/src/main/kotlin/io/carawaytrack/wire/Message.kt
@@ -10,6 +10,7 @@
 import io.carawaytrack.model.Announcement
 import io.carawaytrack.model.Configuration
 import io.carawaytrack.model.Failure
+import io.carawaytrack.model.HostPort
 import io.carawaytrack.model.Membership
 import io.carawaytrack.model.ModelVersion
 import io.carawaytrack.model.NodeId
@@ -18,6 +19,7 @@
 import io.carawaytrack.model.Priority
 import io.carawaytrack.model.RequestId
 import io.carawaytrack.model.SessionId
+import io.carawaytrack.model.SuspectReport
 import io.carawaytrack.model.UpstreamLoad
 import io.carawaytrack.model.ZoneName
 import kotlinx.serialization.SerialName
@@ -59,6 +61,11 @@
     @ByteString public val proof: ByteArray,
 ) : Message
 
+/** Shows that the sender is alive on a link that is otherwise idle. */
+@Serializable
+@SerialName("pi")
+public data object Ping : Message
+
 /** Names one header of a request or an answer. */
 @Serializable
 public data class Header(
@@ -95,6 +102,7 @@
     @ByteString public val body: ByteArray,
     public val fingerprint: Long = 0,
     public val estimatedTokens: Long = 0,
+    public val costPerKiloToken: Double = 0.0,
     public val timeoutMillis: Long,
     public val creditBytes: Long,
     public val traceparent: String? = null,
@@ -124,6 +132,13 @@
     public val load: UpstreamLoad,
 ) : Message
 
+/** Tells the agent that the request's outcome and bill are committed, so that it need not report them itself. */
+@Serializable
+@SerialName("as")
+public class AttemptSettled(
+    public val attempt: Long,
+) : Message
+
 /** Begins an answer. */
 @Serializable
 @SerialName("ah")
@@ -174,6 +189,7 @@
  * @property sequence rises with each heartbeat; the grant repeats it
  * @property announcement set by agents
  * @property membershipNumber last membership the sender has, entries only
+ * @property suspects what the agent holds against requests, when it has changed since it was last sent on this link
  */
 @Serializable
 @SerialName("hb")
@@ -182,7 +198,7 @@
     public val configurationNumber: Long,
     public val announcement: Announcement? = null,
     public val membershipNumber: Long = 0,
-    public val leaderTerm: Long = 0,
+    public val suspects: SuspectReport? = null,
 ) : Message
 
 /**
@@ -190,6 +206,7 @@
  *
  * @property configuration set when the holder's number was lower
  * @property membership set for entries when it has changed
+ * @property suspects what other agents hold against requests, set for agents when it has changed
  */
 @Serializable
 @SerialName("lg")
@@ -198,8 +215,8 @@
     public val durationMillis: Long,
     public val configurationNumber: Long,
     public val configuration: Configuration? = null,
-    public val leaderTerm: Long = 0,
     public val membership: Membership? = null,
+    public val suspects: List<SuspectReport> = emptyList(),
 ) : Message
 
 /** Pushes a configuration that has just been accepted. */
@@ -214,7 +231,7 @@
 @SerialName("nl")
 public class NotLeading(
     public val sequence: Long,
-    public val leader: NodeId?,
+    public val leader: HostPort?,
 ) : Message
 
 /** Asks the control host to commit a ledger command, in the ledger's own encoding. */
