Give a cancelled attempt its answer before it runs

Cause: begun undispatched, an attempt ran as far as the upstream before the cancel behind it was read, which its test showed red (runs [1], none expected).

Change: it waits once inside its own guard, so that a cancel that is already there is answered as not run.

--- a/agent/src/main/kotlin/io/carawaytrack/agent/EntryService.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/EntryService.kt
@@ -28,6 +28,7 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.yield
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
@@ -88,7 +89,7 @@
     ) {
         val runner = AttemptRunner(attempt, link::send, ::load, ports.nowMillis)
         refusal(attempt)?.let { return refuse(runner, it) }
-        // Begun here and now: an attempt that is cancelled before its first step would never give its answer.
+        // Begun here and now, up to its first wait: cancelled before that, an attempt would never give its answer.
         val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { admitAndRun(attempt, runner) }
         attempts[attempt.attempt] = RunningAttempt(attempt, runner, job)
         runner.settled.invokeOnCompletion { attempts.remove(attempt.attempt) }
@@ -114,6 +115,7 @@
         val tokens = attempt.estimatedTokens
         queuedTokens.addAndGet(tokens)
         try {
+            yield()
             val ticket = ticket(attempt).getOrElse { return refuse(runner, it) }
             ticket.use { run(attempt, runner) }
         } catch (cancelled: CancellationException) {
