Never say 'not run' after a step of a cascade has run, and plan round full versions

Cause: a cascade whose first answer was discarded and whose last step found no room answered 'not run' although the first step had run; a full version refused a request that another version could serve; a load report was taken in before the end of the attempt that it already left out, which counted it twice; a server error at the head of an answer left its attempt open at the agent.

Ruled out: keeping the execution in the dispatcher (it sees one version only).

Change: Finish keeps what has run over all steps; a version without room goes into the next plan; load goes with the end of an attempt; such an attempt is cancelled; ratings that the plan wants are asked for without waiting.

--- a/entry/src/main/kotlin/io/carawaytrack/entry/AgentLinks.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/AgentLinks.kt
@@ -50,12 +50,16 @@
         val held: Boolean,
     ) : AnswerEvent
 
+    /** [load] is what the agent reported with the end. */
     data class End(
         val usage: Usage,
+        val load: UpstreamLoad,
     ) : AnswerEvent
 
+    /** [load] is null where the failure is this entry's own finding. */
     data class Failed(
         val failure: Failure,
+        val load: UpstreamLoad? = null,
     ) : AnswerEvent
 }
 
@@ -84,7 +88,6 @@
     private val scope: CoroutineScope,
     private val connect: suspend (HostPort) -> Result<Link, Failure>,
     private val memory: AnswerMemory,
-    private val onLoad: (UpstreamId, UpstreamLoad) -> Unit,
 ) {
     private val agents = ConcurrentHashMap<UpstreamId, AgentConnection>()
 
@@ -110,7 +113,7 @@
                 connect(HostPort(announcement.agentHost, announcement.agentPort)).getOrElse { failure ->
                     return Err(ErrorKind.NoHealthyUpstream.notRun(failure.detail))
                 }
-            val opened = AgentLink(link, announcement, memory, onLoad)
+            val opened = AgentLink(link, announcement, memory)
             scope.launch { opened.receiveAll() }
             current = opened
             return Ok(opened)
@@ -122,7 +125,6 @@
     private val link: Link,
     private val opened: Announcement,
     private val memory: AnswerMemory,
-    private val onLoad: (UpstreamId, UpstreamLoad) -> Unit,
 ) {
     private val attempts = ConcurrentHashMap<Long, OpenedAttempt>()
     private val numbers = AtomicLong()
@@ -167,20 +169,19 @@
         when (message) {
             is AnswerHead -> attempts[message.attempt]?.deliver(AnswerEvent.Head(message.status, message.headers))
             is AnswerChunk -> attempts[message.attempt]?.chunk(message)
-            is AnswerEnd -> end(message.attempt, message.load) { it.end(message) }
-            is AnswerFailed -> end(message.attempt, message.load) { it.deliver(AnswerEvent.Failed(message.failure)) }
-            is AttemptRefused -> end(message.attempt, message.load) { it.deliver(AnswerEvent.Failed(message.failure)) }
+            is AnswerEnd -> attempts.remove(message.attempt)?.end(message)
+            is AnswerFailed -> fail(message.attempt, message.failure, message.load)
+            is AttemptRefused -> fail(message.attempt, message.failure, message.load)
             else -> return
         }
     }
 
-    private fun end(
+    private fun fail(
         attempt: Long,
+        failure: Failure,
         load: UpstreamLoad,
-        deliver: (OpenedAttempt) -> Unit,
     ) {
-        onLoad(opened.upstream, load)
-        attempts.remove(attempt)?.let(deliver)
+        attempts.remove(attempt)?.deliver(AnswerEvent.Failed(failure, load))
     }
 
     private fun lost() =
@@ -215,7 +216,7 @@
 
     fun end(message: AnswerEnd) {
         if (message.chunks != expectedSequence) return deliver(gap(message.chunks))
-        deliver(AnswerEvent.End(message.usage))
+        deliver(AnswerEvent.End(message.usage, message.load))
     }
 
     private fun gap(sequence: Long): AnswerEvent {
--- a/entry/src/main/kotlin/io/carawaytrack/entry/Answer.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Answer.kt
@@ -13,6 +13,7 @@
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.ModelVersion
 import io.carawaytrack.model.PoolMember
+import io.carawaytrack.model.UpstreamLoad
 import io.carawaytrack.wire.Usage
 import java.io.ByteArrayOutputStream
 
@@ -44,12 +45,12 @@
 
 internal val Answer.version: ModelVersion get() = member.version
 
-/** An answer whose head has arrived; [onEnd] hears once whether the upstream is healthy. */
+/** An answer whose head has arrived; [onEnd] hears once whether the upstream is healthy, and the load it reported. */
 internal class OpenAnswer(
     override val member: PoolMember,
     override val head: AnswerEvent.Head,
     private val attempt: Attempt,
-    private val onEnd: (healthy: Boolean) -> Unit,
+    private val onEnd: (healthy: Boolean, load: UpstreamLoad?) -> Unit,
 ) : Answer {
     override val announcement: Announcement get() = attempt.announcement
 
@@ -60,11 +61,11 @@
         is AnswerEvent.Chunk -> Ok(event)
         is AnswerEvent.End -> {
             usage = event.usage
-            onEnd(true)
+            onEnd(true, event.load)
             Ok(null)
         }
         is AnswerEvent.Failed -> {
-            onEnd(event.failure.kind != ErrorKind.UpstreamFailed)
+            onEnd(event.failure.kind != ErrorKind.UpstreamFailed, event.load)
             Err(event.failure)
         }
         is AnswerEvent.Head -> next()
@@ -75,7 +76,7 @@
     override fun onOverrun(end: () -> Unit): Unit = attempt.onOverrun(end)
 
     override suspend fun cancel() {
-        onEnd(true)
+        onEnd(true, null)
         attempt.cancel()
     }
 
--- a/entry/src/main/kotlin/io/carawaytrack/entry/Dispatcher.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Dispatcher.kt
@@ -20,6 +20,7 @@
 import io.carawaytrack.model.PoolMember
 import io.carawaytrack.model.ServiceKind
 import io.carawaytrack.model.UpstreamId
+import io.carawaytrack.model.UpstreamLoad
 import io.carawaytrack.model.notRun
 import io.carawaytrack.routing.ChoiceRequest
 import io.carawaytrack.routing.UpstreamChooser
@@ -131,14 +132,14 @@
             metrics.attemptStarted(member.version, announcement.zone)
             val attempt =
                 links.open(announcement, ::order).getOrElse { failed ->
-                    finished(announcement, healthy = false)
+                    finished(announcement, healthy = false, load = null)
                     ended(announcement, failed)
                     return Err(failed)
                 }
             return when (val first = first(attempt)) {
                 is AnswerEvent.Head -> opened(attempt, first)
                 is AnswerEvent.Failed -> {
-                    finished(announcement, healthy = first.failure.execution == Execution.NotRun)
+                    finished(announcement, first.failure.execution == Execution.NotRun, first.load)
                     ended(announcement, first.failure)
                     Err(first.failure)
                 }
@@ -149,20 +150,21 @@
             }
         }
 
-        private fun opened(
+        private suspend fun opened(
             attempt: Attempt,
             head: AnswerEvent.Head,
         ): Result<Answer, Failure> {
             var ended = false
-            val onEnd = { healthy: Boolean ->
+            val onEnd = { healthy: Boolean, load: UpstreamLoad? ->
                 if (!ended) {
-                    finished(attempt.announcement, healthy)
+                    finished(attempt.announcement, healthy, load)
                     ended(attempt.announcement, failure = null)
                 }
                 ended = true
             }
             if (request.route.kind == ServiceKind.Model && head.status >= LOWEST_SERVER_ERROR) {
-                onEnd(false)
+                onEnd(false, null)
+                attempt.cancel()
                 val detail = "the upstream answered with status ${head.status}"
                 return Err(Failure(ErrorKind.UpstreamFailed, Execution.MayHaveRun, detail))
             }
@@ -172,7 +174,11 @@
         private fun finished(
             announcement: Announcement,
             healthy: Boolean,
-        ) = chooser.finished(announcement.upstream, request.estimatedTokens, healthy)
+            load: UpstreamLoad?,
+        ) {
+            chooser.finished(announcement.upstream, request.estimatedTokens, healthy)
+            if (load != null) chooser.report(announcement.upstream, load)
+        }
 
         private fun ended(
             announcement: Announcement,
--- a/entry/src/main/kotlin/io/carawaytrack/entry/Entry.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Entry.kt
@@ -84,6 +84,7 @@
     }
 
     private fun handler() = RequestHandler(
+        scope = scope,
         planner = Planner(Random(System.nanoTime())),
         dispatcher = dispatcher(),
         ledger = ledger,
@@ -96,7 +97,7 @@
 
     private fun dispatcher() = Dispatcher(
         chooser = chooser,
-        links = AgentLinks(scope, hub::connect, memory(), chooser::report),
+        links = AgentLinks(scope, hub::connect, memory()),
         lease = control.lease,
         configuration = control::configuration,
         nowMillis = ::monotonicMillis,
--- a/entry/src/main/kotlin/io/carawaytrack/entry/Finish.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Finish.kt
@@ -7,6 +7,8 @@
 import io.carawaytrack.ledger.MAX_STORED_ANSWER_BYTES
 import io.carawaytrack.ledger.StoredAnswer
 import io.carawaytrack.model.Bill
+import io.carawaytrack.model.Execution
+import io.carawaytrack.model.Failure
 import io.carawaytrack.routing.Observation
 import io.carawaytrack.routing.Planner
 import io.carawaytrack.telemetry.EntryMetrics
@@ -21,13 +23,23 @@
     private val metrics: EntryMetrics,
     private val wallClockMillis: () -> Long,
     private val nowMillis: () -> Long,
+    private val onTaken: (answer: Answer, body: ByteArray, escalated: Boolean) -> Unit,
 ) {
     private val discarded = mutableListOf<Answer>()
     private val startedAtMillis = nowMillis()
 
+    /** Whether any attempt of the request has run so far; a refusal of the whole may not say less. */
+    var execution: Execution = Execution.NotRun
+        private set
+
+    fun failed(failure: Failure) {
+        execution = maxOf(execution, failure.execution)
+    }
+
     /** Notes an answer that was not taken; from now on this entry alone answers for the outcome of the request. */
     suspend fun discard(answer: Answer) {
         discarded += answer
+        execution = Execution.Ran
         answer.settled()
     }
 
@@ -37,6 +49,7 @@
         body: ByteArray?,
     ) {
         observe(answer)
+        if (body != null) onTaken(answer, body, discarded.isNotEmpty())
         val command = command(answer, body)
         command.bill?.let { metrics.billed(request.route.name, it) }
         if (request.idempotencyKey == null) return ledger.finishLater(command) { answer.settled() }
--- a/entry/src/main/kotlin/io/carawaytrack/entry/RequestHandler.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/RequestHandler.kt
@@ -5,6 +5,7 @@
 package io.carawaytrack.entry
 
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.andThen
 import com.github.michaelbull.result.getOrElse
 import io.carawaytrack.ledger.LedgerCommand
 import io.carawaytrack.ledger.LedgerReply
@@ -22,6 +23,8 @@
 import io.carawaytrack.routing.PlanStep
 import io.carawaytrack.routing.Planner
 import io.carawaytrack.telemetry.EntryMetrics
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
 
 private const val PLANS_PER_REQUEST = 3
 
@@ -30,9 +33,11 @@
     /** Identity under which the request is recorded. */
     val request: RequestId
 
+    /** [full] names a version without room, when another one may still serve the request. */
     class Refused(
         override val request: RequestId,
         val failure: Failure,
+        val full: ModelVersion? = null,
     ) : Reply
 
     class Repeated(
@@ -52,6 +57,7 @@
 internal typealias RateAnswer = suspend (request: RequestId, version: ModelVersion, answer: ByteArray) -> Double?
 
 internal class RequestHandler(
+    private val scope: CoroutineScope,
     private val planner: Planner,
     private val dispatcher: Dispatcher,
     private val ledger: LedgerClient,
@@ -63,16 +69,30 @@
     private val rate: RateAnswer,
 ) {
     suspend fun handle(request: CallerRequest): Reply {
+        val full = HashSet<ModelVersion>()
+        var refused =
+            Reply.Refused(
+                request.id,
+                ErrorKind.NoHealthyUpstream.notRun("the planned versions were withdrawn"),
+            )
         repeat(PLANS_PER_REQUEST) {
-            tryOnce(request)?.let { return it }
+            val reply = tryOnce(request, full)
+            if (reply != null && (reply !is Reply.Refused || reply.full == null)) return reply
+            if (reply is Reply.Refused) {
+                refused = reply
+                reply.full?.let(full::add)
+            }
         }
-        return Reply.Refused(request.id, ErrorKind.NoHealthyUpstream.notRun("the planned versions were withdrawn"))
+        return refused
     }
 
     /** Returns null when the planned version was withdrawn between the plan and the intent. */
-    private suspend fun tryOnce(request: CallerRequest): Reply? {
+    private suspend fun tryOnce(
+        request: CallerRequest,
+        full: Set<ModelVersion>,
+    ): Reply? {
         val pin = pins.of(request)
-        val plan = plan(request, pin).getOrElse { return Reply.Refused(request.id, it) }
+        val plan = plan(request, pin, full).getOrElse { return Reply.Refused(request.id, it) }
         if (!needsIntent(request, pin)) return run(request, plan, pin != null, begun = false)
         val reply = begin(request, plan).getOrElse { return Reply.Refused(request.id, it) }
         return when (reply) {
@@ -92,6 +112,7 @@
     private fun plan(
         request: CallerRequest,
         pin: ModelVersion?,
+        full: Set<ModelVersion>,
     ): Result<Plan, Failure> = planner.plan(
         configuration(),
         PlanRequest(
@@ -100,6 +121,7 @@
             pinned = pin,
             estimatedTokens = request.estimatedTokens,
             startsSession = request.session != null && pin == null,
+            full = full,
         ),
     )
 
@@ -146,15 +168,15 @@
         pinned: Boolean,
         begun: Boolean,
     ): Reply {
-        val finish = Finish(request, ledger, planner, metrics, wallClockMillis, nowMillis)
+        val last = plan.steps.last()
+        val finish = Finish(request, ledger, planner, metrics, wallClockMillis, nowMillis, rateLater(request, last))
         plan.steps.dropLast(1).forEach { step ->
             trial(request, step, pinned, finish)?.let { return it }
         }
-        val last = plan.steps.last().version
         val answer =
-            dispatcher.open(request, last, pinned).getOrElse { failure ->
-                planner.observe(request.route.name, last, Observation.Failed)
-                return refused(request, failure, begun)
+            dispatcher.open(request, last.version, pinned).getOrElse { failure ->
+                failed(request, last.version, failure, finish)
+                return refused(request, last.version, failure.copy(execution = finish.execution), begun || pinned)
             }
         return Reply.Answered(request.id, request.route.name, answer, finish)
     }
@@ -166,44 +188,67 @@
         pinned: Boolean,
         finish: Finish,
     ): Reply? {
-        val answer =
-            dispatcher.open(request, step.version, pinned).getOrElse {
-                planner.observe(request.route.name, step.version, Observation.Failed)
+        val whole =
+            dispatcher.open(request, step.version, pinned).andThen { collected(it) }.getOrElse { failure ->
+                failed(request, step.version, failure, finish)
                 return null
             }
-        val whole = collected(answer).getOrElse { return null }
-        if (taken(
-                request,
-                whole,
-                step.acceptRating ?: 0.0,
-            )
-        ) {
-            return Reply.Answered(request.id, request.route.name, whole, finish)
-        }
+        if (taken(request, whole, step)) return Reply.Answered(request.id, request.route.name, whole, finish)
         finish.discard(whole)
         metrics.escalated(request.route.name, step.version)
         return null
     }
 
+    private fun failed(
+        request: CallerRequest,
+        version: ModelVersion,
+        failure: Failure,
+        finish: Finish,
+    ) {
+        finish.failed(failure)
+        // A refusal for want of room tells nothing about the version.
+        if (failure.execution == Execution.NotRun) return
+        planner.observe(request.route.name, version, Observation.Failed)
+    }
+
     private suspend fun taken(
         request: CallerRequest,
         answer: CollectedAnswer,
-        threshold: Double,
+        step: PlanStep,
     ): Boolean {
-        val rating = rate(request.id, answer.version, answer.body) ?: return false
-        planner.observe(request.route.name, answer.version, Observation.Rated(rating))
-        metrics.rated(request.route.name, answer.version, rating)
-        return rating >= threshold
+        val rating = rated(request, answer.version, answer.body, escalated = false) ?: return false
+        return rating >= (step.acceptRating ?: 0.0)
+    }
+
+    private suspend fun rated(
+        request: CallerRequest,
+        version: ModelVersion,
+        answer: ByteArray,
+        escalated: Boolean,
+    ): Double? {
+        val rating = rate(request.id, version, answer) ?: return null
+        planner.observe(request.route.name, version, Observation.Rated(rating, escalated))
+        metrics.rated(request.route.name, version, rating)
+        return rating
+    }
+
+    /** Asks for the rating of a taken answer where the plan wants one; nobody waits for it. */
+    private fun rateLater(
+        request: CallerRequest,
+        step: PlanStep,
+    ): (Answer, ByteArray, Boolean) -> Unit = { answer, body, escalated ->
+        if (step.rateAnswer) scope.launch { rated(request, answer.version, body, escalated) }
     }
 
     private suspend fun refused(
         request: CallerRequest,
+        version: ModelVersion,
         failure: Failure,
-        begun: Boolean,
+        bound: Boolean,
     ): Reply {
-        if (begun && failure.execution == Execution.NotRun) {
-            ledger.finish(LedgerCommand.Abandon(request.organisation.name, request.id))
-        }
-        return Reply.Refused(request.id, failure)
+        if (failure.execution != Execution.NotRun) return Reply.Refused(request.id, failure)
+        if (bound) ledger.finish(LedgerCommand.Abandon(request.organisation.name, request.id))
+        val full = version.takeIf { !bound && failure.kind == ErrorKind.PoolExhausted }
+        return Reply.Refused(request.id, failure, full)
     }
 }
--- a/entry/src/test/kotlin/io/carawaytrack/entry/DispatchTest.kt
+++ b/entry/src/test/kotlin/io/carawaytrack/entry/DispatchTest.kt
@@ -116,7 +116,7 @@
     private val dispatcher =
         Dispatcher(
             chooser = chooser,
-            links = AgentLinks(agents, { connect(names[it.port - 1]) }, memory) { _, _ -> },
+            links = AgentLinks(agents, { connect(names[it.port - 1]) }, memory),
             lease =
                 object : Lease {
                     override fun remainingMillis() = leaseMillis
