Keep the logs of the tests' deployment in the build folder

Cause: each run left a folder with logs and settings beside other programs' temporary files. Change: the folder of the deployment lies in the module's build folder.

--- a/e2e/src/test/kotlin/io/carawaytrack/e2e/Deployment.kt
+++ b/e2e/src/test/kotlin/io/carawaytrack/e2e/Deployment.kt
@@ -290,7 +290,8 @@
         .deployment
 
     private fun started(): Deployment {
-        val deployment = Deployment(Files.createTempDirectory("caraway-e2e"))
+        val target = Files.createDirectories(Path.of("target")).toAbsolutePath()
+        val deployment = Deployment(Files.createTempDirectory(target, "deployment-"))
         return runCatching { deployment.apply { start() } }
             .onFailure { deployment.close() }
             .getOrThrow()
