--- a/agent/src/main/kotlin/io/carawaytrack/agent/EntryService.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/EntryService.kt
@@ -28,6 +28,7 @@
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.yield
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
@@ -88,10 +89,10 @@
     ) {
         val runner = AttemptRunner(attempt, link::send, ::load, ports.nowMillis)
         refusal(attempt)?.let { return refuse(runner, it) }
-        runner.settled.invokeOnCompletion { attempts.remove(attempt.attempt) }
-        val job = scope.launch(start = CoroutineStart.LAZY) { admitAndRun(attempt, runner) }
+        // Begun here and now, up to its first wait: cancelled before that, an attempt would never give its answer.
+        val job = scope.launch(start = CoroutineStart.UNDISPATCHED) { admitAndRun(attempt, runner) }
         attempts[attempt.attempt] = RunningAttempt(attempt, runner, job)
-        job.start()
+        runner.settled.invokeOnCompletion { attempts.remove(attempt.attempt) }
     }
 
     private fun refusal(attempt: OpenAttempt): Failure? =
@@ -114,6 +115,7 @@
         val tokens = attempt.estimatedTokens
         queuedTokens.addAndGet(tokens)
         try {
+            yield()
             val ticket = ticket(attempt).getOrElse { return refuse(runner, it) }
             ticket.use { run(attempt, runner) }
         } catch (cancelled: CancellationException) {
