Add, promote and remove control hosts from the command line

Cause: the administration API could change the control group, no command could.

Ruled out: one command 'replace' (it would wait for the learner inside one call and could not be resumed).

Conclusion: partial until it has been run for real.

--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/AdminClient.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/AdminClient.kt
@@ -17,6 +17,8 @@
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HistoryEntry
 import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.MemberReply
+import io.carawaytrack.model.MemberRequest
 import io.carawaytrack.model.OrganisationName
 import io.carawaytrack.model.StatusReport
 import io.ktor.http.encodeURLParameter
@@ -90,6 +92,9 @@
 
     /** Fetches the bills of [organisation]. */
     suspend fun bills(organisation: OrganisationName): Result<List<Bill>, CtlError>
+
+    /** Asks for one change of the control group; sent again, it is refused when the first one was carried out. */
+    suspend fun member(request: MemberRequest): Result<MemberReply, CtlError>
 }
 
 /** Creates a client that sends by [send]. */
@@ -137,6 +142,11 @@
     override suspend fun bills(organisation: OrganisationName) =
         get("/v1/bills?organisation=${organisation.value.encodeURLParameter()}", ListSerializer(Bill.serializer()))
 
+    override suspend fun member(request: MemberRequest): Result<MemberReply, CtlError> {
+        val body = adminJson.encodeToString(MemberRequest.serializer(), request)
+        return call("POST", "/v1/members", body, MemberReply.serializer())
+    }
+
     private fun CtlError.Unreachable.withResendHint(operationId: String) = CtlError.Unreachable(
         "$message; the change may have been accepted: send it again with --operation-id $operationId",
     )
--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/Main.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/Main.kt
@@ -37,6 +37,7 @@
         HistoryCommand::class,
         RollbackCommand::class,
         BillsCommand::class,
+        MemberCommand::class,
         KeyDigestCommand::class,
         TopCommand::class,
         CompletionCommand::class,
--- a/ctl/src/test/kotlin/io/carawaytrack/ctl/CarawayctlTest.kt
+++ b/ctl/src/test/kotlin/io/carawaytrack/ctl/CarawayctlTest.kt
@@ -74,6 +74,13 @@
         Triple("bills --organisation a&b", "/v1/bills?organisation=a%26b", "[]"),
     )
 
+private val memberCases =
+    listOf(
+        "member add c4 127.0.0.1:7400" to """{"action":"Add","node":"c4","address":{"host":"127.0.0.1","port":7400}}""",
+        "member promote c4" to """{"action":"Promote","node":"c4"}""",
+        "member remove c1" to """{"action":"Remove","node":"c1"}""",
+    )
+
 private const val UNSERVED =
     """{"number":7,"versionStates":{"quill@1":"Withdrawn"},"tables":{
     "organisations":[{"name":"north","keySha256":[],"allows":["*@*"]}],
@@ -87,6 +94,7 @@
     listOf(
         "" to "expected one of the commands check",
         "zone" to "expected one of the commands out, in",
+        "member add c4 nowhere" to "expected HOST:PORT, got nowhere",
         "zone out" to "Missing required parameter",
         "bills" to "Missing required option",
         "zone up north" to "Unmatched arguments",
@@ -107,6 +115,19 @@
 
     private fun words(line: String): Array<String> = line.split(' ').filter(String::isNotEmpty).toTypedArray()
 
+    @TestFactory
+    fun `a change of the control group is sent as one request`(): List<DynamicTest> = memberCases.map { (line, sent) ->
+        dynamicTest(line) {
+            runTest {
+                val control = fakeControl(folder, { answer("""{"node":"c4","action":"Add"}""") })
+                expectThat(control.run(*words(line))).isEqualTo(ExitCode.Done)
+                expectThat(control.requests).single().isEqualTo(
+                    AdminRequest(HostPort("127.0.0.1", 1), "POST", "/v1/members", "secret-token", sent),
+                )
+            }
+        }
+    }
+
     @TestFactory
     fun `each change is asked for once, with its operation id, base number and token`(): List<DynamicTest> =
         changeCases.map { (line, change) ->
