--- a/entry/src/main/kotlin/io/carawaytrack/entry/Entry.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Entry.kt
@@ -80,7 +80,8 @@
     private fun api(): CallerApi {
         val reader = RequestReader(RouteTables(control::configuration), settings, ::monotonicMillis)
         val mayAccept = acceptance({ control.lease.held }, { refusing })
-        return CallerApi(scope, reader, handler(), telemetry, metrics, System::nanoTime, mayAccept)
+        val writer = ReplyWriter(scope, metrics, System::nanoTime)
+        return CallerApi(scope, reader, handler(), writer, telemetry, metrics, System::nanoTime, mayAccept)
     }
 
     private fun handler() = RequestHandler(
--- /dev/null
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/ReplyWriter.kt
@@ -0,0 +1,232 @@
+/*
+ * Writes replies to callers over HTTP. Every answer carries the request id; a refusal carries the error kind and
+ * whether the request ran.
+ */
+package io.carawaytrack.entry
+
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.mapBoth
+import io.carawaytrack.ledger.MAX_STORED_ANSWER_BYTES
+import io.carawaytrack.ledger.StoredAnswer
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Execution
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.RequestId
+import io.carawaytrack.telemetry.EntryMetrics
+import io.carawaytrack.telemetry.HopSpan
+import io.carawaytrack.telemetry.error
+import io.carawaytrack.telemetry.info
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.call
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytes
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeByteArray
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.async
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.json.Json
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+
+private val logger = KotlinLogging.logger {}
+
+private const val MILLIS_PER_SECOND = 1_000L
+private const val EVENT_STREAM = "text/event-stream"
+internal const val VERSION_HEADER = "X-Caraway-Version"
+internal const val UPSTREAM_HEADER = "X-Caraway-Upstream"
+internal const val ERROR_KIND_HEADER = "X-Caraway-Error"
+internal const val EXECUTION_HEADER = "X-Caraway-Execution"
+internal const val REPEATED_HEADER = "X-Caraway-Repeated"
+
+/** Headers of an upstream's answer that describe the connection or that the server sets itself. */
+private val ownHeaders = setOf("content-type", "content-length", "connection", "date", "server", "x-request-id")
+
+private val unkept = Failure(ErrorKind.AnswerNotKept, Execution.Ran)
+
+internal class ReplyWriter(
+    private val scope: CoroutineScope,
+    private val metrics: EntryMetrics,
+    private val nanoTime: () -> Long,
+) {
+    /** Writes [reply]; returns the failure that the caller got, or null for a complete answer. */
+    suspend fun write(
+        call: ApplicationCall,
+        reply: Reply,
+        span: HopSpan,
+    ): Failure? = when (reply) {
+        is Reply.Refused -> refuse(call, reply.request, reply.failure, span)
+        is Reply.Repeated -> repeat(call, reply, span)
+        is Reply.Answered -> relay(call, reply, span)
+    }
+
+    suspend fun refuse(
+        call: ApplicationCall,
+        id: RequestId,
+        failure: Failure,
+        span: HopSpan,
+    ): Failure {
+        span.fail(failure.kind)
+        logger.info(id) { "refused: ${failure.kind} ${failure.execution}: ${failure.detail}" }
+        call.response.header(REQUEST_ID_HEADER, id.value)
+        call.response.header(ERROR_KIND_HEADER, failure.kind.name)
+        call.response.header(EXECUTION_HEADER, failure.execution.name)
+        failure.retryAfterMillis?.let { call.response.header(HttpHeaders.RetryAfter, seconds(it)) }
+        call.respondText(errorBody(id, failure), ContentType.Application.Json, failure.statusCode)
+        return failure
+    }
+
+    private fun seconds(millis: Long): String = ((millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND).toString()
+
+    private suspend fun repeat(
+        call: ApplicationCall,
+        reply: Reply.Repeated,
+        span: HopSpan,
+    ): Failure? {
+        val stored = reply.answer
+        val body = stored.body ?: return refuse(call, reply.request, unkept, span)
+        call.response.header(REPEATED_HEADER, "true")
+        call.describe(reply.request, stored.version.toString())
+        call.respondBytes(body, stored.type(), HttpStatusCode.fromValue(stored.status))
+        return null
+    }
+
+    private fun StoredAnswer.type(): ContentType? = contentType?.let(ContentType::parse)
+
+    private fun ApplicationCall.describe(
+        id: RequestId,
+        version: String,
+    ) {
+        response.header(REQUEST_ID_HEADER, id.value)
+        response.header(VERSION_HEADER, version)
+    }
+
+    private suspend fun relay(
+        call: ApplicationCall,
+        reply: Reply.Answered,
+        span: HopSpan,
+    ): Failure? {
+        val answer = reply.answer
+        span.attribute("version", answer.version.toString())
+        span.attribute("upstream", answer.announcement.upstream.value)
+        if (answer.head.contentType
+                .orEmpty()
+                .startsWith(EVENT_STREAM)
+        ) {
+            return stream(call, reply)
+        }
+        val whole =
+            scope
+                .async { collected(answer).mapBoth({ finished(reply, it) }, { it }) }
+                .await()
+        if (whole is Failure) return refuse(call, reply.request, whole, span)
+        respond(call, reply, whole as CollectedAnswer)
+        return null
+    }
+
+    private suspend fun finished(
+        reply: Reply.Answered,
+        whole: CollectedAnswer,
+    ): CollectedAnswer {
+        reply.finish.complete(whole, whole.body)
+        return whole
+    }
+
+    private suspend fun respond(
+        call: ApplicationCall,
+        reply: Reply.Answered,
+        whole: CollectedAnswer,
+    ) {
+        call.describeAnswer(reply)
+        val type = whole.head.contentType?.let(ContentType::parse)
+        call.respondBytes(whole.body, type, HttpStatusCode.fromValue(whole.head.status))
+    }
+
+    private fun ApplicationCall.describeAnswer(reply: Reply.Answered) {
+        describe(reply.request, reply.answer.version.toString())
+        response.header(UPSTREAM_HEADER, reply.answer.announcement.upstream.value)
+        reply.answer.head.headers
+            .filterNot { it.name.lowercase() in ownHeaders }
+            .forEach { response.header(it.name, it.value) }
+    }
+
+    private suspend fun stream(
+        call: ApplicationCall,
+        reply: Reply.Answered,
+    ): Failure? {
+        call.describeAnswer(reply)
+        val type =
+            reply.answer.head.contentType
+                ?.let(ContentType::parse)
+        var failure: Failure? = null
+        call.respondBytesWriter(type, HttpStatusCode.fromValue(reply.answer.head.status)) {
+            failure = copy(reply, this)
+        }
+        return failure
+    }
+
+    private suspend fun copy(
+        reply: Reply.Answered,
+        out: ByteWriteChannel,
+    ): Failure? {
+        val kept = ByteArrayOutputStream()
+        val pace = Pace(reply.route)
+        val copying = currentCoroutineContext().job
+        reply.answer.onOverrun { copying.cancel(CancellationException("the caller read too slowly")) }
+        try {
+            while (true) {
+                val part = reply.answer.next().getOrElse { return fail(reply, it, out) } ?: break
+                out.writeByteArray(part.bytes)
+                out.flush()
+                if (kept.size() <= MAX_STORED_ANSWER_BYTES) kept.write(part.bytes)
+                reply.answer.consumed(part)
+                pace.chunk()
+            }
+        } catch (gone: IOException) {
+            reply.answer.cancel()
+            throw gone
+        } catch (cancelled: CancellationException) {
+            withContext(NonCancellable) { reply.answer.cancel() }
+            throw cancelled
+        }
+        withContext(NonCancellable) { reply.finish.complete(reply.answer, kept.toByteArray()) }
+        return null
+    }
+
+    /** Ends a stream that cannot be completed by an event that says so; the closing event is left out. */
+    private suspend fun fail(
+        reply: Reply.Answered,
+        failure: Failure,
+        out: ByteWriteChannel,
+    ): Failure {
+        logger.error(reply.request) { "stream ended early: ${failure.detail}" }
+        out.writeByteArray("data: ${errorBody(reply.request, failure)}\n\n".encodeToByteArray())
+        out.flush()
+        return failure
+    }
+
+    /** Measures the time between the parts of one stream. */
+    private inner class Pace(
+        private val route: String,
+    ) {
+        private var lastNanos = nanoTime()
+
+        fun chunk() {
+            val nowNanos = nanoTime()
+            metrics.chunkGap(route, nowNanos - lastNanos)
+            lastNanos = nowNanos
+        }
+    }
+}
+
+private val Failure.statusCode: HttpStatusCode get() = HttpStatusCode.fromValue(kind.status)
