--- a/bench/src/main/kotlin/io/carawaytrack/bench/Main.kt
+++ b/bench/src/main/kotlin/io/carawaytrack/bench/Main.kt
@@ -5,8 +5,13 @@
 package io.carawaytrack.bench
 
 import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.model.NodeRole
+import io.carawaytrack.model.ZoneName
 import io.carawaytrack.process.runCommand
+import io.carawaytrack.telemetry.installJsonLogs
 import io.carawaytrack.wire.SharedSecret
+import io.github.oshai.kotlinlogging.Level
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.json.Json
 import picocli.CommandLine.Command
@@ -20,7 +25,10 @@
 private const val DEFAULT_MEASURE_MILLIS = 10_000L
 
 /** Starts the bench from the command line. */
-public fun main(arguments: Array<String>): Unit = runCommand(BenchCommand(), arguments)
+public fun main(arguments: Array<String>) {
+    installJsonLogs(NodeId("bench"), NodeRole.Tool, ZoneName("bench"), Level.ERROR)
+    runCommand(BenchCommand(), arguments)
+}
 
 @Command(
     name = "caraway-bench",
--- a/control/src/main/kotlin/io/carawaytrack/control/HolderRegistry.kt
+++ b/control/src/main/kotlin/io/carawaytrack/control/HolderRegistry.kt
@@ -11,14 +11,22 @@
 import io.carawaytrack.model.NodeRole
 import io.carawaytrack.model.SuspectReport
 import io.carawaytrack.model.UpstreamId
+import io.carawaytrack.model.UpstreamLoad
 import io.carawaytrack.wire.Heartbeat
 import io.carawaytrack.wire.PeerIdentity
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.withLock
+import kotlin.math.abs
 
 /** Silence after which an upstream counts as gone, in milliseconds. */
 internal const val UPSTREAM_SILENCE_MILLIS = 2_000L
 
+/** Longest time for which entries are not told of a load that has moved a little, in milliseconds. */
+private const val LOAD_REFRESH_MILLIS = 2_000L
+
+/** Part of the permits by which a load must move to be told at once. */
+private const val MATERIAL_SHARE = 4
+
 /** Silence after which a holder is no longer shown, in milliseconds. */
 private const val HOLDER_FORGOTTEN_MILLIS = 60_000L
 
@@ -28,13 +36,30 @@
     val heardAtMillis: Long,
 )
 
+/** An upstream as the entries have been told of it; [announcement] may lag behind what was heard last. */
 private data class UpstreamRecord(
     val announcement: Announcement,
     val heardAtMillis: Long,
+    val toldAtMillis: Long,
     val changeNumber: Long,
     val gone: Boolean,
 )
 
+/** Returns whether entries are to be told of [next]: at once when it matters, else after [LOAD_REFRESH_MILLIS]. */
+private fun UpstreamRecord.isOutdatedBy(
+    next: Announcement,
+    nowMillis: Long,
+): Boolean {
+    if (gone || announcement.copy(load = next.load) != next) return true
+    if (announcement.load == next.load) return false
+    return nowMillis - toldAtMillis >= LOAD_REFRESH_MILLIS || announcement.load.differsMuchFrom(next.load)
+}
+
+private fun UpstreamLoad.differsMuchFrom(next: UpstreamLoad): Boolean {
+    val material = maxOf(permits, 1) / MATERIAL_SHARE
+    return abs(next.running - running) > material || abs(next.permits - permits) > material
+}
+
 private data class SuspectRecord(
     val report: SuspectReport,
     val changeNumber: Long,
@@ -53,6 +78,9 @@
     private val upstreams = HashMap<UpstreamId, UpstreamRecord>()
     private val suspects = HashMap<NodeId, SuspectRecord>()
     private var changeNumber = 0L
+
+    /** No upstream falls silent before this moment; heartbeats only move it on. */
+    private var nextSilenceAtMillis = Long.MAX_VALUE
     private var leadingSinceMillis: Long? = null
 
     /** Starts anew when this host begins to lead: what an earlier leader heard is out of date. */
@@ -80,9 +108,15 @@
     private fun announced(announcement: Announcement) {
         val known = upstreams[announcement.upstream]
         if (known != null && known.announcement.incarnation > announcement.incarnation) return
-        val same = known != null && !known.gone && known.announcement == announcement
-        val number = if (same) known.changeNumber else ++changeNumber
-        upstreams[announcement.upstream] = UpstreamRecord(announcement, nowMillis(), number, gone = false)
+        val now = nowMillis()
+        val told =
+            if (known == null || known.isOutdatedBy(announcement, now)) {
+                UpstreamRecord(announcement, now, toldAtMillis = now, ++changeNumber, gone = false)
+            } else {
+                known.copy(heardAtMillis = now)
+            }
+        upstreams[announcement.upstream] = told
+        nextSilenceAtMillis = minOf(nextSilenceAtMillis, now + UPSTREAM_SILENCE_MILLIS)
     }
 
     /** Returns what has changed since [number], or null when nothing has. */
@@ -105,11 +139,15 @@
     }
 
     private fun markSilent() {
-        val oldest = nowMillis() - UPSTREAM_SILENCE_MILLIS
+        val now = nowMillis()
+        if (now <= nextSilenceAtMillis) return
+        val oldest = now - UPSTREAM_SILENCE_MILLIS
         upstreams.replaceAll { _, record ->
             if (record.gone || record.heardAtMillis >= oldest) return@replaceAll record
             record.copy(gone = true, changeNumber = ++changeNumber)
         }
+        val heard = upstreams.values.filterNot(UpstreamRecord::gone).minOfOrNull(UpstreamRecord::heardAtMillis)
+        nextSilenceAtMillis = heard?.plus(UPSTREAM_SILENCE_MILLIS) ?: Long.MAX_VALUE
     }
 
     fun announcements(): List<Announcement> = lock.withLock {
