Record a span for the agent's hop, and check the trace in the demo

Cause: the agent passed traceparent on and recorded no span of its own, so a trace had one hop.

Ruled out: a span for each frame (its cost would fall on each token).

--- a/agent/src/main/kotlin/io/carawaytrack/agent/Agent.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/Agent.kt
@@ -21,6 +21,7 @@
 import io.carawaytrack.telemetry.ObservabilityServer
 import io.carawaytrack.telemetry.watchLease
 import io.carawaytrack.wire.LinkHub
+import io.carawaytrack.wire.OpenAttempt
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -92,13 +93,23 @@
         condition = condition,
         admission = admission,
         configuration = control::configuration,
-        runUpstream = upstream::run,
+        runUpstream = ::runInSpan,
         metrics = metrics,
         nowMillis = ::monotonicMillis,
     ) { outcome, runner ->
         if (outcome.failure == null) settlement.expect(outcome, runner.settled)
     }
 
+    private suspend fun runInSpan(
+        attempt: OpenAttempt,
+        sink: AnswerSink,
+    ) {
+        val attributes = mapOf("request" to attempt.request.value, "version" to attempt.version.toString())
+        telemetry.span("agent", attempt.traceparent, attributes).use { span ->
+            upstream.run(attempt, span.traceparent, sink)
+        }
+    }
+
     private fun slowStartSettings(): SlowStartSettings {
         val byWarmth =
             SlowStartSettings(
--- a/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
@@ -61,8 +61,10 @@
             }
         }
 
+    /** Runs [attempt] as the next hop of [traceparent]. */
     suspend fun run(
         attempt: OpenAttempt,
+        traceparent: String?,
         sink: AnswerSink,
     ) {
         val request =
@@ -71,7 +73,7 @@
                 url("http://$upstream${attempt.path}")
                 attempt.headers.filter(::forwarded).forEach { header(it.name, it.value) }
                 header(REQUEST_ID_HEADER, attempt.request.value)
-                attempt.traceparent?.let { header("traceparent", it) }
+                traceparent?.let { header("traceparent", it) }
                 if (attempt.body.isNotEmpty()) setBody(ByteArrayContent(attempt.body))
             }
         request.execute { response -> relay(response, sink) }
--- a/demo/src/main/kotlin/io/carawaytrack/demo/DemoRun.kt
+++ b/demo/src/main/kotlin/io/carawaytrack/demo/DemoRun.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.json.int
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import java.nio.file.Files
 import java.nio.file.Path
 import java.util.UUID
 
@@ -35,6 +36,7 @@
         streamedSession()
         reservation()
         moveZone()
+        spans()
     }
 
     private suspend fun awaitReady() {
@@ -123,10 +125,29 @@
         answer.upstream.orEmpty()
     }
 
+    /** Waits until the spans of an entry and of an agent show the same trace; they are written in the background. */
+    private suspend fun spans() {
+        client.until("a trace through an entry and an agent") {
+            traces("entry-").intersect(traces("agent-")).isNotEmpty()
+        }
+        say("spans of entries and agents share their traces")
+    }
+
+    private fun traces(nodePrefix: String): Set<String> = client.addresses.observability.keys
+        .filter { it.startsWith(nodePrefix) }
+        .map { folder.resolve("$it.spans.jsonl") }
+        .filter(Files::exists)
+        .flatMap { Files.readAllLines(it) }
+        .mapNotNull { line -> traceId.find(line)?.value }
+        .toSet()
+
     private fun say(line: String): Unit = println(line)
 }
 
 private const val HUNDRED = 100
+
+/** Finds the trace of a span also in a last line that is still being written. */
+private val traceId = Regex(""""traceId":"[0-9a-f]{32}"""")
 private const val RESERVATION = """{"item":"drawer-rail","quantity":1}"""
 
 private fun chatBody(stream: Boolean) = """{"model":"draft","stream":$stream,"max_tokens":16,""" +
