Resolve a pool's members in one place

Ruled out: letting routing depend on tables (it would bring the TOML parser to the decision code); the search needs the model's types alone.

Change: reachableFrom and membersOf stand in module model; both old ones are gone. Tests changed in their imports only.

Measured: mvn verify of model, tables, routing, entry, control, ctl, replay and demo with all they need: green, formatter and linter included.

Conclusion: behaviour as before, both modules' own tests of it pass.

--- a/entry/src/main/kotlin/io/carawaytrack/entry/Dispatcher.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Dispatcher.kt
@@ -21,10 +21,10 @@
 import io.carawaytrack.model.ServiceKind
 import io.carawaytrack.model.UpstreamId
 import io.carawaytrack.model.UpstreamLoad
+import io.carawaytrack.model.membersOf
 import io.carawaytrack.model.notRun
 import io.carawaytrack.routing.ChoiceRequest
 import io.carawaytrack.routing.UpstreamChooser
-import io.carawaytrack.routing.membersOf
 import io.carawaytrack.telemetry.AttemptEnd
 import io.carawaytrack.telemetry.EntryMetrics
 import io.carawaytrack.wire.OpenAttempt
--- a/routing/src/main/kotlin/io/carawaytrack/routing/PoolMembers.kt
+++ b/routing/src/main/kotlin/io/carawaytrack/routing/PoolMembers.kt
@@ -12,31 +12,15 @@
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.ModelVersion
 import io.carawaytrack.model.PoolMember
-import io.carawaytrack.model.PoolName
 import io.carawaytrack.model.Rollout
 import io.carawaytrack.model.RolloutPhase
-import io.carawaytrack.model.Tables
 import io.carawaytrack.model.VersionState
+import io.carawaytrack.model.membersOf
 import io.carawaytrack.model.notRun
 import kotlin.random.Random
 
 private const val WHOLE_PERCENT = 100
 
-/** Returns the members of [pool] and of every pool it includes, each version once, the nearest row first. */
-public fun Tables.membersOf(pool: PoolName): List<PoolMember> {
-    val seen = mutableSetOf<PoolName>()
-    val waiting = ArrayDeque(listOf(pool))
-    val members = LinkedHashMap<ModelVersion, PoolMember>()
-    while (waiting.isNotEmpty()) {
-        val name = waiting.removeFirst()
-        val row = pools.firstOrNull { it.name == name }
-        if (row == null || !seen.add(name)) continue
-        row.members.forEach { members.putIfAbsent(it.version, it) }
-        waiting += row.includes
-    }
-    return members.values.toList()
-}
-
 /** Holds the members that may run one request, and the roll-outs among them. */
 internal class EligibleMembers(
     val members: List<PoolMember>,
--- a/tables/src/main/kotlin/io/carawaytrack/tables/PoolChecks.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/PoolChecks.kt
@@ -9,6 +9,7 @@
 import io.carawaytrack.model.PoolName
 import io.carawaytrack.model.ServiceKind
 import io.carawaytrack.model.Tables
+import io.carawaytrack.model.reachableFrom
 
 private const val HIGHEST_WEIGHT = 1_000
 private const val HIGHEST_COST_PER_KILO_TOKEN = 1_000_000.0
--- a/tables/src/main/kotlin/io/carawaytrack/tables/RouteChecks.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/RouteChecks.kt
@@ -8,6 +8,7 @@
 import io.carawaytrack.model.Route
 import io.carawaytrack.model.ServiceKind
 import io.carawaytrack.model.Tables
+import io.carawaytrack.model.membersOf
 
 /** Stands for every organisation in a route. */
 private const val ALL_ORGANISATIONS = "*"
--- a/tables/src/main/kotlin/io/carawaytrack/tables/TableChecks.kt
+++ b/tables/src/main/kotlin/io/carawaytrack/tables/TableChecks.kt
@@ -5,12 +5,10 @@
 package io.carawaytrack.tables
 
 import io.carawaytrack.model.ModelVersion
-import io.carawaytrack.model.Pool
-import io.carawaytrack.model.PoolMember
-import io.carawaytrack.model.PoolName
 import io.carawaytrack.model.ServiceKind
 import io.carawaytrack.model.Tables
 import io.carawaytrack.model.VersionState
+import io.carawaytrack.model.membersOf
 
 /** File name of faults in the organisations and routes when the tables come from no file. */
 public const val ROUTES_TABLE: String = "routes"
@@ -46,24 +44,6 @@
     return faults.found
 }
 
-/** Returns the members of [pool] and of the pools it includes, each version once. */
-public fun Tables.membersOf(pool: PoolName): List<PoolMember> =
-    reachableFrom(pool).flatMap(Pool::members).distinctBy(PoolMember::version)
-
-/** Returns [name]'s pool and those it includes at any depth; ends also when they include each other. */
-internal fun Tables.reachableFrom(name: PoolName): List<Pool> {
-    val reached = linkedMapOf<PoolName, Pool>()
-    val open = ArrayDeque(listOf(name))
-    while (open.isNotEmpty()) {
-        val next = open.removeFirst()
-        val pool = pools.firstOrNull { it.name == next }
-        if (pool == null || next in reached) continue
-        reached[next] = pool
-        open += pool.includes
-    }
-    return reached.values.toList()
-}
-
 /** Collects the faults of one table. */
 internal class FaultList(
     private val table: String,
--- a/tables/src/test/kotlin/io/carawaytrack/tables/TableReaderTest.kt
+++ b/tables/src/test/kotlin/io/carawaytrack/tables/TableReaderTest.kt
@@ -17,6 +17,7 @@
 import io.carawaytrack.model.Tables
 import io.carawaytrack.model.UpstreamId
 import io.carawaytrack.model.VersionState
+import io.carawaytrack.model.membersOf
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.Test
