--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Leader.kt
@@ -45,6 +45,9 @@
         return state.members.isQuorum(replication.heard())
     }
 
+    /** Returns the time since [node] last answered. */
+    fun silentMillis(node: NodeId): Long = replication.silentMillis(node)
+
     fun onProposal(proposal: Input.Propose) {
         val index = append(EntryKind.COMMAND, proposal.command)
         state.effects.accepted += Accepted(proposal.call, index, state.term)
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftCore.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftCore.kt
@@ -88,6 +88,11 @@
         return state.takeEffects()
     }
 
+    /** Returns the members, each with the time since this replica heard it if it leads. */
+    fun standings(): List<MemberStanding> = state.members.members.map { member ->
+        MemberStanding(member.node, member.voter, leader?.silentMillis(member.node) ?: 0)
+    }
+
     private fun handle(input: Input) = when (input) {
         is Input.Tick -> onTick()
         is Input.Received -> onReceived(input)
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Replica.kt
@@ -23,13 +23,25 @@
     public fun restore(snapshot: ByteArray)
 }
 
-/** Tells how a replica stands. */
+/**
+ * Tells how a member of the group stands.
+ *
+ * @property silentMillis time since the leader last heard it; zero for the leader itself, and on every other replica
+ */
+public data class MemberStanding(
+    val node: NodeId,
+    val voter: Boolean,
+    val silentMillis: Long,
+)
+
+/** Tells how a replica stands; [members] are those of its own log, committed or not. */
 public data class ReplicaStatus(
     val node: NodeId,
     val leader: NodeId?,
     val term: Long,
     val commitIndex: Long,
     val appliedIndex: Long,
+    val members: List<MemberStanding> = emptyList(),
 ) {
     /** Whether this replica believes that it leads. */
     val leading: Boolean get() = leader == node
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
@@ -202,5 +202,12 @@
         detail: String = kind.explanation,
     ) = Failure(kind, Execution.MayHaveRun, detail)
 
-    private fun currentStatus() = ReplicaStatus(state.node, state.leader, state.term, state.commitIndex, appliedIndex)
+    private fun currentStatus() = ReplicaStatus(
+        node = state.node,
+        leader = state.leader,
+        term = state.term,
+        commitIndex = state.commitIndex,
+        appliedIndex = appliedIndex,
+        members = core.standings(),
+    )
 }
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Replication.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Replication.kt
@@ -66,6 +66,9 @@
         return peers.filterValues { it.lastHeardMillis > oldestMillis }.keys + state.node
     }
 
+    /** Returns the time since [node] last answered; zero for this replica. */
+    fun silentMillis(node: NodeId): Long = peers[node]?.let { nowMillis - it.lastHeardMillis } ?: 0
+
     /** Takes in a member's answer; returns whether [from] is one. */
     fun onReply(
         from: NodeId,
--- /dev/null
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/FleetState.kt
@@ -0,0 +1,182 @@
+/*
+ * What the control hosts agree on: the operator's document in force, the roll-outs and the availability zones that are
+ * out. Commands go through the replicated log; every host that applies them publishes the same views in the same order.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package io.carawaytrack.fleet
+
+import io.carawaytrack.consensus.StateMachine
+import io.carawaytrack.model.PoolName
+import io.carawaytrack.model.ZoneName
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+
+/** Says where a roll-out stands. */
+@Serializable
+public enum class FleetRolloutPhase { Running, Completed, RolledBack }
+
+/**
+ * Describes the move of a pool's requests to the version [target].
+ *
+ * @property order log index of the order; a later order for the pool has a higher one
+ * @property durationMillis time within which it is to be decided
+ * @property orderedAtMillis moment of the order on the leading host's clock; only for display and after a restart
+ */
+@Serializable
+public data class FleetRollout(
+    val pool: PoolName,
+    val target: String,
+    val order: Long,
+    val durationMillis: Long,
+    val orderedAtMillis: Long,
+    val phase: FleetRolloutPhase,
+)
+
+/** Asks for one change of the agreed state. */
+@Serializable
+public sealed interface FleetCommand {
+    /** Puts [document] in force unless its version is not above the one in force. */
+    @Serializable
+    @SerialName("d")
+    public class Replace(
+        public val version: Long,
+        @ByteString public val document: ByteArray,
+    ) : FleetCommand
+
+    /** Starts a roll-out unless it is the newest one of the pool already. */
+    @Serializable
+    @SerialName("b")
+    public data class Begin(
+        val pool: PoolName,
+        val target: String,
+        val durationMillis: Long,
+        val atMillis: Long,
+    ) : FleetCommand
+
+    /** Ends the roll-out that was ordered at [order] unless it has ended. */
+    @Serializable
+    @SerialName("e")
+    public data class End(
+        val pool: PoolName,
+        val order: Long,
+        val phase: FleetRolloutPhase,
+    ) : FleetCommand
+
+    /** Takes a zone out or brings it back. */
+    @Serializable
+    @SerialName("z")
+    public data class SetZone(
+        val zone: ZoneName,
+        val out: Boolean,
+    ) : FleetCommand
+}
+
+/** Encodes this command for the log. */
+public fun FleetCommand.encode(): ByteArray = fleetCbor.encodeToByteArray(this)
+
+/**
+ * Holds the agreed state after the log entry [index].
+ *
+ * @property version version of [document]; zero while there is none
+ * @property document the operator's document, compressed, as it was accepted
+ */
+@Serializable
+public class FleetView(
+    public val index: Long = 0,
+    public val version: Long = 0,
+    @ByteString public val document: ByteArray = ByteArray(0),
+    public val rollouts: List<FleetRollout> = emptyList(),
+    public val zonesOut: Set<ZoneName> = emptySet(),
+) {
+    /** Returns the newest roll-out of [pool]. */
+    public fun rolloutOf(pool: PoolName): FleetRollout? = rollouts.firstOrNull { it.pool == pool }
+}
+
+private val fleetCbor = Cbor { ignoreUnknownKeys = true }
+
+/** Applies commands and hands each new view to [publish], on the thread of the replica. */
+public class FleetState(
+    private val publish: (FleetView) -> Unit,
+) : StateMachine {
+    @Volatile
+    private var view = FleetView()
+
+    override fun apply(
+        index: Long,
+        command: ByteArray,
+    ): ByteArray {
+        val next = view.after(index, fleetCbor.decodeFromByteArray<FleetCommand>(command))
+        if (next != null) {
+            view = next
+            publish(next)
+        }
+        return ByteArray(0)
+    }
+
+    override fun snapshot(): ByteArray = fleetCbor.encodeToByteArray(view)
+
+    override fun restore(snapshot: ByteArray) {
+        view = fleetCbor.decodeFromByteArray(snapshot)
+        publish(view)
+    }
+}
+
+/** Returns the view after [command] at [index], or null when it changes nothing. */
+internal fun FleetView.after(
+    index: Long,
+    command: FleetCommand,
+): FleetView? = when (command) {
+    is FleetCommand.Replace ->
+        if (command.version <= version) null else with(index, version = command.version, document = command.document)
+    is FleetCommand.Begin -> begin(index, command)
+    is FleetCommand.End -> end(index, command)
+    is FleetCommand.SetZone -> setZone(index, command)
+}
+
+private fun FleetView.begin(
+    index: Long,
+    command: FleetCommand.Begin,
+): FleetView? {
+    if (rolloutOf(command.pool)?.target == command.target) return null
+    val begun =
+        FleetRollout(
+            pool = command.pool,
+            target = command.target,
+            order = index,
+            durationMillis = command.durationMillis,
+            orderedAtMillis = command.atMillis,
+            phase = FleetRolloutPhase.Running,
+        )
+    return with(index, rollouts = rollouts.filter { it.pool != command.pool } + begun)
+}
+
+private fun FleetView.end(
+    index: Long,
+    command: FleetCommand.End,
+): FleetView? {
+    val running = rolloutOf(command.pool)?.takeIf { it.order == command.order } ?: return null
+    if (running.phase != FleetRolloutPhase.Running) return null
+    return with(index, rollouts = rollouts - running + running.copy(phase = command.phase))
+}
+
+private fun FleetView.setZone(
+    index: Long,
+    command: FleetCommand.SetZone,
+): FleetView? {
+    val next = if (command.out) zonesOut + command.zone else zonesOut - command.zone
+    return if (next == zonesOut) null else with(index, zonesOut = next)
+}
+
+private fun FleetView.with(
+    index: Long,
+    version: Long = this.version,
+    document: ByteArray = this.document,
+    rollouts: List<FleetRollout> = this.rollouts,
+    zonesOut: Set<ZoneName> = this.zonesOut,
+) = FleetView(index, version, document, rollouts, zonesOut)
--- /dev/null
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -0,0 +1,323 @@
+/*
+ * Connections of callers. Each carries one request after another; what a caller sends ahead waits until its turn. A
+ * request is handed on once it has been read whole, and the end of its connection is told at once, also while an answer
+ * is awaited.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.fleet.CallerLimits
+import io.carawaytrack.model.HostPort
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+
+private const val MAX_LINE_BYTES = 8_192
+private const val MAX_CHUNK_BYTES = 65_536
+
+/** Messages that a caller may send ahead while an answer is awaited. */
+private const val MAX_SENT_AHEAD = 256
+
+/** Bytes waiting for a slow caller from which its upstream is read no further, and at which it is read again. */
+private val waterMark = WriteBufferWaterMark(64 * 1024, 256 * 1024)
+
+/** Takes requests, and the ends of the connections that they came on. */
+internal class CallerEvents(
+    val request: (HttpRequest, ByteBuf, CallerConnection) -> Unit,
+    val malformed: (CallerConnection, HttpResponseStatus) -> Unit,
+    val limits: () -> CallerLimits,
+    val draining: () -> Boolean,
+)
+
+/** Hears of the caller of a request that is being answered. */
+internal interface CallerListener {
+    /** Tells that the caller has closed its connection. */
+    fun callerGone()
+
+    /** Tells whether the caller reads as fast as it is sent to. */
+    fun callerWritable(writable: Boolean)
+}
+
+internal class CallerConnections(
+    private val group: EventLoopGroup,
+    private val events: CallerEvents,
+    private val nowMillis: () -> Long,
+) {
+    private val open = LinkedHashSet<CallerConnection>()
+
+    val count: Int get() = open.size
+
+    fun listen(address: HostPort): Channel = ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark)
+        .childHandler(
+            object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    val codec = HttpServerCodec(MAX_LINE_BYTES, events.limits().maxHeaderBytes, MAX_CHUNK_BYTES)
+                    channel.pipeline().addLast(codec, CallerConnection(channel, this@CallerConnections))
+                }
+            },
+        ).bind(address.host, address.port)
+        .syncUninterruptibly()
+        .channel()
+
+    /** Closes connections that have been idle, or busy with one request's head or body, for too long. */
+    fun prune() = open.toList().forEach { it.prune(nowMillis(), events.limits()) }
+
+    /** Closes the connections that carry no request. */
+    fun closeIdle() = open.toList().forEach { it.closeIfIdle() }
+
+    internal class CallerConnection(
+        val channel: Channel,
+        private val owner: CallerConnections,
+    ) : ChannelInboundHandlerAdapter() {
+        private val ahead = ArrayDeque<Any>()
+        private var head: HttpRequest? = null
+        private var body: CompositeByteBuf? = null
+        private var listener: CallerListener? = null
+        private var answering = false
+        private var chunked = true
+        private var keepAlive = true
+        private var sinceMillis = owner.nowMillis()
+        private var started = false
+
+        val isWritable: Boolean get() = channel.isWritable
+
+        override fun channelActive(context: ChannelHandlerContext) {
+            owner.open += this
+        }
+
+        override fun channelRead(
+            context: ChannelHandlerContext,
+            message: Any,
+        ) {
+            if (!answering) return read(message)
+            ahead.addLast(message)
+            if (ahead.size > MAX_SENT_AHEAD) channel.close()
+        }
+
+        private fun read(message: Any) {
+            if (message is HttpRequest) {
+                if (!begin(message)) {
+                    ReferenceCountUtil.release(message)
+                    return
+                }
+            }
+            if (message is HttpContent) take(message)
+        }
+
+        private fun begin(request: HttpRequest): Boolean {
+            head = null
+            sinceMillis = owner.nowMillis()
+            started = true
+            val refusal = refusalOf(request)
+            if (refusal != null) {
+                refuse(refusal)
+                return false
+            }
+            if (HttpUtil.is100ContinueExpected(request)) sendContinue()
+            head = request
+            return true
+        }
+
+        private fun sendContinue() {
+            val interim = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
+            channel.writeAndFlush(interim)
+        }
+
+        private fun refusalOf(request: HttpRequest): HttpResponseStatus? {
+            val failed = request.decoderResult().takeIf { it.isFailure }
+            val headers = request.headers()
+            return when {
+                failed?.cause() is TooLongFrameException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                failed != null || isAmbiguous(headers) -> HttpResponseStatus.BAD_REQUEST
+                HttpUtil.getContentLength(request, 0L) > owner.events.limits().maxBodyBytes ->
+                    HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+                else -> null
+            }
+        }
+
+        /** Returns whether two readers might see the end of the body in different places, or two hosts. */
+        private fun isAmbiguous(headers: HttpHeaders): Boolean {
+            val codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+            val unknownCoding = codings.isNotEmpty() && !codings.single().equals("chunked", ignoreCase = true)
+            val both = codings.isNotEmpty() && headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+            return codings.size > 1 || unknownCoding || both || headers.getAll(HttpHeaderNames.HOST).size > 1
+        }
+
+        private fun take(content: HttpContent) {
+            val request = head
+            if (request == null || content.decoderResult().isFailure) {
+                content.release()
+                if (request != null) refuse(HttpResponseStatus.BAD_REQUEST)
+                return
+            }
+            if (!append(content)) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            if (content !is LastHttpContent) return
+            val whole = body ?: Unpooled.EMPTY_BUFFER
+            body = null
+            head = null
+            answering = true
+            started = false
+            keepAlive = HttpUtil.isKeepAlive(request)
+            chunked = request.protocolVersion() == HttpVersion.HTTP_1_1
+            owner.events.request(request, whole, this)
+        }
+
+        private fun append(content: HttpContent): Boolean {
+            val bytes = content.content()
+            if (!bytes.isReadable) {
+                content.release()
+                return true
+            }
+            val whole = body ?: channel.alloc().compositeBuffer(MAX_BODY_PARTS).also { body = it }
+            whole.addComponent(true, bytes)
+            return whole.readableBytes() <= owner.events.limits().maxBodyBytes
+        }
+
+        private fun refuse(status: HttpResponseStatus) {
+            head = null
+            answering = true
+            keepAlive = false
+            owner.events.malformed(this, status)
+        }
+
+        /** Names who hears of the caller while its request is answered. */
+        fun listenWith(next: CallerListener) {
+            listener = next
+        }
+
+        /** Sends a whole answer, whose body it releases. */
+        fun answer(
+            status: HttpResponseStatus,
+            headers: HttpHeaders,
+            content: ByteBuf,
+        ) {
+            val response =
+                DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content, headers, EmptyHttpHeaders.INSTANCE)
+            HttpUtil.setContentLength(response, content.readableBytes().toLong())
+            setConnection(headers)
+            val sent = channel.writeAndFlush(response)
+            if (keepAlive) answered() else sent.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        /** Begins an answer whose length isn't known. */
+        fun begin(
+            status: HttpResponseStatus,
+            headers: HttpHeaders,
+        ) {
+            if (chunked) {
+                headers[HttpHeaderNames.TRANSFER_ENCODING] = HttpHeaderValues.CHUNKED
+            } else {
+                keepAlive = false
+            }
+            setConnection(headers)
+            channel.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers))
+        }
+
+        /** Sends a part of the body, which it releases; it leaves with the next [flush]. */
+        fun write(content: ByteBuf) {
+            channel.write(DefaultHttpContent(content), channel.voidPromise())
+        }
+
+        fun flush() {
+            channel.flush()
+        }
+
+        /** Ends an answer that is complete. */
+        fun finish() {
+            val sent = channel.writeAndFlush(DefaultLastHttpContent.EMPTY_LAST_CONTENT)
+            if (keepAlive) answered() else sent.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        /** Ends an answer that can't be completed, so that it doesn't look complete. */
+        fun abort() {
+            listener = null
+            channel.close()
+        }
+
+        private fun setConnection(headers: HttpHeaders) {
+            if (owner.events.draining()) keepAlive = false
+            if (!keepAlive) headers[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
+        }
+
+        private fun answered() {
+            listener = null
+            answering = false
+            sinceMillis = owner.nowMillis()
+            while (!answering && ahead.isNotEmpty()) read(ahead.removeFirst())
+        }
+
+        fun prune(
+            now: Long,
+            limits: CallerLimits,
+        ) {
+            if (answering) return
+            if (now - sinceMillis > limits.idleTimeoutMillis) channel.close()
+        }
+
+        fun closeIfIdle() {
+            if (!answering && !started) channel.close()
+        }
+
+        override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+            listener?.callerWritable(channel.isWritable)
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            owner.open -= this
+            ahead.forEach(ReferenceCountUtil::release)
+            ahead.clear()
+            body?.release()
+            body = null
+            val left = listener
+            listener = null
+            left?.callerGone()
+        }
+
+        @Deprecated("Netty's own signature")
+        override fun exceptionCaught(
+            context: ChannelHandlerContext,
+            cause: Throwable,
+        ) {
+            context.close()
+        }
+    }
+
+    private companion object {
+        /** Parts of a body beyond which they are copied into one. */
+        const val MAX_BODY_PARTS = 64
+    }
+}
+
+internal typealias CallerConnection = CallerConnections.CallerConnection
--- /dev/null
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -0,0 +1,144 @@
+/*
+ * A caller's request as the gateway works on it, and the request that it sends to an upstream in its place.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.fleet.CatalogOrganisation
+import io.carawaytrack.fleet.CatalogRoute
+import io.carawaytrack.fleet.FleetUpstream
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+
+private const val LAST_EVENT_ID = "Last-Event-Id"
+private const val ANY_MODEL = "*"
+private const val BEARER = "Bearer "
+
+/** Most urgent value that a request of the lowest rank gets, and the step between two ranks. */
+private const val LOWEST_URGENCY = 9
+private const val URGENCY_STEP = 2
+private const val FIRST_URGENCY = 1
+
+/** Headers that concern one connection only, in lower case. */
+private val connectionHeaders = setOf(
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+)
+
+/**
+ * Holds a request that a route takes.
+ *
+ * @property endsAtMillis when the caller or the route stops waiting, whichever is first
+ * @property rank urgency, 0 first
+ */
+internal class CallerRequest(
+    val head: HttpRequest,
+    val body: ByteBuf,
+    val id: String,
+    val route: CatalogRoute,
+    val organisation: CatalogOrganisation?,
+    val arrivedAtMillis: Long,
+    val endsAtMillis: Long,
+    val demand: PromptDemand,
+    val session: String,
+) {
+    val rank: Int = organisation?.rank ?: route.rank
+
+    /** Whether the gateway is to choose the model. */
+    val anyModel: Boolean get() = route.models.isNotEmpty()
+
+    /** Identifier of the last event that the caller has, if it resumes a stream. */
+    fun lastEventId(): String? = head.headers()[LAST_EVENT_ID]
+}
+
+/** Reads what tells an organisation's caller from others. */
+internal fun bearerKey(headers: HttpHeaders): String? {
+    val value = headers[HttpHeaderNames.AUTHORIZATION] ?: return null
+    return if (value.startsWith(BEARER, ignoreCase = true)) value.substring(BEARER.length).trim() else null
+}
+
+/** Returns the session's name, or else what only requests of one session share. */
+internal fun sessionOf(
+    headers: HttpHeaders,
+    demand: PromptDemand,
+    vocabulary: HeaderVocabulary,
+    id: String,
+): String = headers[vocabulary.session] ?: demand.parts.lastOrNull()?.id ?: id
+
+/**
+ * Builds the request for [upstream].
+ *
+ * @param model model that is to answer; null leaves what the caller said
+ * @param lastEventId event after which a stream goes on
+ */
+internal fun CallerRequest.forUpstream(
+    upstream: FleetUpstream,
+    vocabulary: HeaderVocabulary,
+    leftMillis: Long,
+    model: String?,
+    lastEventId: String?,
+): FullHttpRequest {
+    val headers = unvalidatedHeaders()
+    val dropped = connectionHeaders + namedByConnection(head.headers()) + vocabulary.reserved
+    head.headers().forEach { (name, value) -> if (name.lowercase() !in dropped) headers.add(name, value) }
+    if (bearerKey(head.headers()) != null) headers.remove(HttpHeaderNames.AUTHORIZATION)
+    headers[vocabulary.attemptId] = id
+    headers[vocabulary.deadlineMillis] = leftMillis.toString()
+    headers[vocabulary.expectedUpstream] = upstream.id.value
+    headers.remove(vocabulary.organisation)
+    organisation?.let { headers[vocabulary.organisation] = it.name.value }
+    if (model != null) headers[vocabulary.model] = model
+    if (route.streaming) headers[vocabulary.urgency] = urgency().toString()
+    if (lastEventId != null) headers[LAST_EVENT_ID] = lastEventId
+    val request =
+        DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            head.method(),
+            head.uri(),
+            body.retainedDuplicate(),
+            headers,
+            EmptyHttpHeaders.INSTANCE,
+        )
+    if (body.isReadable || carriedBody()) HttpUtil.setContentLength(request, body.readableBytes().toLong())
+    return request
+}
+
+private fun CallerRequest.carriedBody() =
+    head.headers().contains(HttpHeaderNames.CONTENT_LENGTH) || HttpUtil.isTransferEncodingChunked(head)
+
+private fun CallerRequest.urgency() = minOf(LOWEST_URGENCY, FIRST_URGENCY + URGENCY_STEP * rank)
+
+private fun namedByConnection(headers: HttpHeaders): List<String> =
+    headers.getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim().lowercase() }
+
+/** Returns the headers of an upstream's answer that go to the caller. */
+internal fun answerHeaders(upstreams: HttpHeaders): HttpHeaders {
+    val dropped = connectionHeaders + namedByConnection(upstreams)
+    val headers = unvalidatedHeaders()
+    upstreams.forEach { (name, value) -> if (name.lowercase() !in dropped) headers.add(name, value) }
+    return headers
+}
+
+/** Returns whether the caller leaves the choice of the model to the gateway. */
+internal fun leavesModelOpen(value: String?): Boolean = value == null || value == ANY_MODEL
+
+/** Creates headers that take what another message's reader has checked already. */
+internal fun unvalidatedHeaders(): HttpHeaders = unvalidated.newHeaders()
+
+private val unvalidated = DefaultHttpHeadersFactory.headersFactory().withValidation(false)
--- /dev/null
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
@@ -0,0 +1,159 @@
+/*
+ * Splits a stream into whole events. An upstream may stop in the middle of an event, and the rest of it never comes, so
+ * only whole events go to the caller; the identifier of the last one tells where another upstream has to go on.
+ */
+package io.carawaytrack.gateway
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufAllocator
+import io.netty.buffer.Unpooled
+
+private const val NEWLINE = '\n'.code.toByte()
+private const val CARRIAGE_RETURN = '\r'.code.toByte()
+private val ID_FIELD = "id:".encodeToByteArray()
+
+/** Largest part of an event that is kept while its end is awaited, in bytes. */
+private const val MAX_EVENT_BYTES = 1024 * 1024
+
+internal class EventScanner(
+    /** Identifier of the last event that was passed on, or the one that the caller named. */
+    var lastId: String?,
+) {
+    private var partial: ByteBuf = Unpooled.EMPTY_BUFFER
+    private var lastNumber = lastId?.toLongOrNull()
+
+    /** Whole events passed on so far. */
+    var events = 0
+        private set
+
+    /** Whether the stream has been cut by events that don't follow one another or don't end. */
+    var damaged = false
+        private set
+
+    /** Whether nothing of an unfinished event is kept. */
+    val isAtBoundary: Boolean get() = !partial.isReadable
+
+    /** Takes [bytes], which it releases, and returns the whole events that have become known; the caller releases them. */
+    fun take(
+        bytes: ByteBuf,
+        allocator: ByteBufAllocator,
+    ): ByteBuf {
+        val all = join(bytes, allocator)
+        val end = endOfLastEvent(all)
+        if (end < 0) {
+            partial = all
+            damaged = damaged || all.readableBytes() > MAX_EVENT_BYTES
+            return Unpooled.EMPTY_BUFFER
+        }
+        val whole = all.readRetainedSlice(end - all.readerIndex())
+        partial = if (all.isReadable) all else Unpooled.EMPTY_BUFFER.also { all.release() }
+        return onlyNew(whole, allocator)
+    }
+
+    /** Forgets an unfinished event, because its upstream has stopped. */
+    fun dropPartial() {
+        partial.release()
+        partial = Unpooled.EMPTY_BUFFER
+    }
+
+    private fun join(
+        bytes: ByteBuf,
+        allocator: ByteBufAllocator,
+    ): ByteBuf {
+        if (!partial.isReadable) return bytes
+        val joined = allocator.buffer(partial.readableBytes() + bytes.readableBytes())
+        joined.writeBytes(partial).writeBytes(bytes)
+        partial.release()
+        bytes.release()
+        return joined
+    }
+
+    /** Returns the index after the last empty line, or -1. */
+    private fun endOfLastEvent(buffer: ByteBuf): Int {
+        var index = buffer.writerIndex() - 1
+        while (index > buffer.readerIndex()) {
+            if (buffer.getByte(index) == NEWLINE && isLineEnd(buffer, index - 1)) return index + 1
+            index--
+        }
+        return -1
+    }
+
+    private fun isLineEnd(
+        buffer: ByteBuf,
+        index: Int,
+    ): Boolean {
+        val byte = buffer.getByte(index)
+        if (byte == NEWLINE) return true
+        return byte == CARRIAGE_RETURN && index > buffer.readerIndex() && buffer.getByte(index - 1) == NEWLINE
+    }
+
+    /** Drops events that the caller has already, after a stream has gone on at another upstream. */
+    private fun onlyNew(
+        whole: ByteBuf,
+        allocator: ByteBufAllocator,
+    ): ByteBuf {
+        var kept: ByteBuf? = null
+        val first = whole.readerIndex()
+        var start = first
+        while (start < whole.writerIndex()) {
+            val end = endOfFirstEvent(whole, start)
+            val id = idWithin(whole, start, end)
+            val repeated = isRepeated(id)
+            if (repeated && kept == null) kept = allocator.buffer().writeBytes(whole, first, start - first)
+            if (!repeated) {
+                noteId(id)
+                events++
+                kept?.writeBytes(whole, start, end - start)
+            }
+            start = end
+        }
+        if (kept == null) return whole
+        whole.release()
+        return kept
+    }
+
+    private fun isRepeated(id: String?): Boolean {
+        val number = id?.toLongOrNull() ?: return false
+        return number <= (lastNumber ?: return false)
+    }
+
+    private fun noteId(id: String?) {
+        if (id == null) return
+        lastId = id
+        lastNumber = id.toLongOrNull()
+    }
+
+    private fun endOfFirstEvent(
+        buffer: ByteBuf,
+        from: Int,
+    ): Int {
+        var index = from + 1
+        while (index < buffer.writerIndex()) {
+            if (buffer.getByte(index) == NEWLINE && isLineEnd(buffer, index - 1)) return index + 1
+            index++
+        }
+        return buffer.writerIndex()
+    }
+
+    private fun idWithin(
+        buffer: ByteBuf,
+        start: Int,
+        end: Int,
+    ): String? {
+        var line = start
+        while (line < end) {
+            val lineEnd = buffer.indexOf(line, end, NEWLINE).let { if (it < 0) end else it }
+            if (startsWithId(buffer, line, lineEnd)) {
+                return buffer.toString(line + ID_FIELD.size, lineEnd - line - ID_FIELD.size, Charsets.US_ASCII).trim()
+            }
+            line = lineEnd + 1
+        }
+        return null
+    }
+
+    private fun startsWithId(
+        buffer: ByteBuf,
+        start: Int,
+        end: Int,
+    ): Boolean = end - start > ID_FIELD.size && ID_FIELD.indices.all { buffer.getByte(start + it) == ID_FIELD[it] }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/HttpEndpoint.kt
@@ -0,0 +1,119 @@
+/*
+ * A small HTTP server for whole requests and whole answers, on the gateway's event loop: what operators, upstreams,
+ * health checks and metrics scrapers call.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.model.HostPort
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+
+/** Largest body of a call, in bytes: an operator's largest document with room to spare. */
+private const val MAX_BODY_BYTES = 8 * 1024 * 1024
+
+/** Holds a call; [path] has no query. */
+public class EndpointCall(
+    public val method: String,
+    public val path: String,
+    public val body: ByteArray,
+)
+
+/**
+ * Holds an answer to a call.
+ *
+ * @property location address to call instead, for redirects
+ */
+public class EndpointAnswer(
+    public val status: Int,
+    public val body: ByteArray = ByteArray(0),
+    public val contentType: String = "application/json",
+    public val location: String? = null,
+)
+
+/** Serves [handle] on [address]; the handler answers at once or later, on the event loop. */
+public fun serveEndpoint(
+    address: HostPort,
+    group: EventLoopGroup,
+    handle: (EndpointCall, (EndpointAnswer) -> Unit) -> Unit,
+): AutoCloseable {
+    val initializer = object : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            channel.pipeline().addLast(
+                HttpServerCodec(),
+                HttpObjectAggregator(MAX_BODY_BYTES),
+                EndpointHandler(handle),
+            )
+        }
+    }
+    val listening: Channel = ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(initializer)
+        .bind(address.host, address.port)
+        .syncUninterruptibly()
+        .channel()
+    return AutoCloseable { listening.close() }
+}
+
+private class EndpointHandler(
+    private val handle: (EndpointCall, (EndpointAnswer) -> Unit) -> Unit,
+) : SimpleChannelInboundHandler<FullHttpRequest>() {
+    override fun channelRead0(
+        context: ChannelHandlerContext,
+        request: FullHttpRequest,
+    ) {
+        if (request.decoderResult().isFailure) {
+            answer(context, EndpointAnswer(HttpResponseStatus.BAD_REQUEST.code()), keepAlive = false)
+            return
+        }
+        val keepAlive = HttpUtil.isKeepAlive(request)
+        val body = ByteArray(request.content().readableBytes()).also(request.content()::readBytes)
+        val call = EndpointCall(request.method().name(), request.uri().substringBefore('?'), body)
+        handle(call) { answer(context, it, keepAlive) }
+    }
+
+    private fun answer(
+        context: ChannelHandlerContext,
+        answer: EndpointAnswer,
+        keepAlive: Boolean,
+    ) {
+        val content = Unpooled.wrappedBuffer(answer.body)
+        val status = HttpResponseStatus.valueOf(answer.status)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
+        val headers = response.headers()
+        if (answer.body.isNotEmpty()) headers[HttpHeaderNames.CONTENT_TYPE] = answer.contentType
+        answer.location?.let { headers[HttpHeaderNames.LOCATION] = it }
+        HttpUtil.setContentLength(response, answer.body.size.toLong())
+        if (!keepAlive) headers[HttpHeaderNames.CONNECTION] = HttpHeaderValues.CLOSE
+        val sent = context.writeAndFlush(response)
+        if (!keepAlive) sent.addListener(ChannelFutureListener.CLOSE)
+    }
+
+    @Deprecated("Netty's own signature")
+    override fun exceptionCaught(
+        context: ChannelHandlerContext,
+        cause: Throwable,
+    ) {
+        context.close()
+    }
+}
--- /dev/null
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -0,0 +1,505 @@
+/*
+ * How the hosts of a fleet find each other and share what they know. Every host keeps links to all hosts with a disk
+ * that it knows of, and learns of them from its seeds. An upstream's announcement is passed on by the host that got it
+ * through the hosts with a disk; the agreed state spreads by pulses that name its log index, so that a host which
+ * missed a change notices within one interval.
+ */
+package io.carawaytrack.mesh
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import io.carawaytrack.fleet.Departure
+import io.carawaytrack.fleet.FleetCommand
+import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.fleet.FleetView
+import io.carawaytrack.fleet.KnownUpstream
+import io.carawaytrack.fleet.RegistryNews
+import io.carawaytrack.fleet.RolloutTally
+import io.carawaytrack.fleet.UpstreamRegistry
+import io.carawaytrack.fleet.encode
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.NodeId
+import io.carawaytrack.model.notRun
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.channel.Channel
+import io.netty.channel.EventLoopGroup
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/** Interval of pulses, in milliseconds: a missed change is noticed well within the time to apply it. */
+private const val PULSE_MILLIS = 400L
+
+/** Silence after which a link is closed, in milliseconds: three missed pulses. */
+private const val LINK_SILENCE_MILLIS = 1_300L
+
+/** Interval of dialling, joining and maintenance, in milliseconds. */
+private const val TICK_MILLIS = 200L
+
+/** Longest time for which refreshed announcements wait to be passed on together, in milliseconds. */
+private const val REFRESH_BATCH_MILLIS = 400L
+
+/** Pause between two attempts to reach the same host, in milliseconds. */
+private const val REDIAL_MILLIS = 500L
+
+/** Time without a link after which a host that is no seed is given up, in milliseconds: longer than any cut. */
+private const val GIVEN_UP_MILLIS = 60_000L
+
+/** Pause before an unanswered request for a view is repeated, in milliseconds. */
+private const val VIEW_REPEAT_MILLIS = 300L
+
+/** Time that a host waits for the others before it founds a group, in milliseconds: above the spread of starts. */
+private const val FOUNDING_WAIT_MILLIS = 900L
+
+/**
+ * Sets up this host's part of the mesh.
+ *
+ * @property seeds mesh addresses of hosts to ask first
+ * @property folder data folder of a host with a disk; null on the others
+ * @property bootstrap whether the whole fleet starts for the first time
+ * @property requiredVoters members of the core without which no change is accepted
+ */
+public data class MeshSettings(
+    val self: PeerCard,
+    val seeds: List<HostPort>,
+    val folder: Path?,
+    val bootstrap: Boolean,
+    val requiredVoters: Int,
+)
+
+/**
+ * Tells what happens; all calls come on the event loop.
+ *
+ * @property viewChanged a newer agreed state is known
+ * @property upstreamChanged something that decides where requests go was announced
+ * @property upstreamGone an upstream has signed off or was forgotten
+ */
+public class MeshEvents(
+    public val viewChanged: (FleetView) -> Unit,
+    public val upstreamChanged: (KnownUpstream) -> Unit,
+    public val upstreamGone: (Departure) -> Unit,
+)
+
+/** Joins this host to its fleet; to be used on the event loop only. */
+public interface Mesh : AutoCloseable {
+    /** The newest agreed state that this host knows. */
+    public val view: FleetView
+
+    /** What the upstreams have announced. */
+    public val upstreams: UpstreamRegistry
+
+    /** Hosts that serve requests, as far as known; at least 1. */
+    public val hosts: Int
+
+    /** Mesh address of the leading host, or null while none is known. */
+    public val leader: HostPort?
+
+    /** Whether this host leads. */
+    public val leading: Boolean
+
+    /** Takes in an announcement that reached this host and passes it on. */
+    public fun announce(upstream: FleetUpstream)
+
+    /** Takes in that an upstream signs off and passes it on. */
+    public fun depart(departure: Departure)
+
+    /**
+     * Commits [command]; [done] is called on the event loop. Fails with `NotLeader` on a host that doesn't lead, and as
+     * the log says.
+     */
+    public fun propose(
+        command: FleetCommand,
+        done: (Result<Unit, Failure>) -> Unit,
+    )
+
+    /** Confirms that this host leads and that [view] holds all that was committed; fails like [propose]. */
+    public fun confirm(done: (Result<Unit, Failure>) -> Unit)
+
+    /** Tells the leader what this host has seen of roll-outs since each one's order. */
+    public fun report(tallies: List<RolloutTally>)
+
+    /** Returns the sum of what all hosts have told this one of the roll-out ordered at [order]. */
+    public fun tallyOf(order: Long): RolloutTally
+
+    /** Uses other seeds from now on. */
+    public fun reseed(seeds: List<HostPort>)
+}
+
+/** Starts this host's part of the mesh on the one event loop of [group]. */
+public fun Mesh(
+    settings: MeshSettings,
+    group: EventLoopGroup,
+    events: MeshEvents,
+    nowMillis: () -> Long,
+): Mesh = LinkedMesh(settings, group, events, nowMillis).also { it.start() }
+
+private class LinkedMesh(
+    private val settings: MeshSettings,
+    private val group: EventLoopGroup,
+    private val events: MeshEvents,
+    private val nowMillis: () -> Long,
+) : Mesh {
+    private val self = settings.self
+    private val loop = group.next()
+    private val links = Links(group, LinkEvents(::opened, ::received, ::closed, ::dialFailed), nowMillis)
+    private val open = LinkedHashSet<MeshLink>()
+    private val peers = Peers(self, settings.seeds, nowMillis)
+    private val refreshed = LinkedHashMap<String, KnownUpstream>()
+    private val tallies = HashMap<HostPort, List<RolloutTally>>()
+    private val startedAtMillis = nowMillis()
+    private var listening: Channel? = null
+    private var viewAskedAtMillis = 0L
+    private var lastPulseMillis = 0L
+    private var lastRefreshMillis = 0L
+    private var core: CoreMember? = null
+
+    override val upstreams: UpstreamRegistry = UpstreamRegistry(nowMillis)
+
+    override var view: FleetView = FleetView()
+        private set
+
+    override val hosts: Int
+        get() {
+            val linked = open.mapNotNull { it.peer?.address }.toSet().size + 1
+            return maxOf(linked, open.maxOfOrNull { it.pulse?.hosts ?: 1 } ?: 1)
+        }
+
+    override val leading: Boolean get() = core?.status?.leading == true
+
+    override val leader: HostPort?
+        get() {
+            val own = core?.status
+            val told = open.mapNotNull { it.pulse }.filter { it.leader != null }.maxByOrNull { it.term }
+            val newest = if (own?.leader != null && own.term >= (told?.term ?: 0)) own.leader else told?.leader
+            return newest?.let(::addressOf)
+        }
+
+    fun start() {
+        listening = links.listen(self.address)
+        core = settings.folder?.let { CoreMember(setup(it)) }?.also { it.open() }
+        loop.scheduleAtFixedRate(::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun setup(folder: Path) = CoreSetup(
+        folder = folder,
+        address = self.address,
+        requiredVoters = settings.requiredVoters,
+        send = { from, to, payload ->
+            val encoded = MeshMessage.Replication(from, to, payload).encode()
+            loop.execute { addressOf(to)?.let(::linkTo)?.send(encoded) }
+        },
+        publish = { published -> loop.execute { adopt(published) } },
+        nowMillis = nowMillis,
+        onLoop = { loop.execute(it) },
+    )
+
+    override fun announce(upstream: FleetUpstream) {
+        when (upstreams.hear(upstream)) {
+            RegistryNews.Nothing -> return
+            RegistryNews.Refreshed -> note(upstream)
+            RegistryNews.Changed -> {
+                spread(MeshMessage.Upstreams(listOf(RelayedUpstream(upstream, 0)), relay = !self.core), CHANGE_COPIES)
+                tellChanged(upstream)
+            }
+        }
+    }
+
+    private fun note(upstream: FleetUpstream) {
+        refreshed[upstream.id.value] = KnownUpstream(upstream, nowMillis())
+    }
+
+    override fun depart(departure: Departure) {
+        val known = upstreams.upstreams.firstOrNull { it.upstream.id == departure.id }
+        val exact = departure.copy(startedAtMillis = departure.startedAtMillis ?: known?.upstream?.startedAtMillis)
+        if (!upstreams.leave(exact)) return
+        spread(MeshMessage.Upstreams(emptyList(), listOf(exact), relay = !self.core), CHANGE_COPIES)
+        events.upstreamGone(exact)
+    }
+
+    /** Sends to all peers from a host with a disk, and through [copies] of them from another host. */
+    private fun spread(
+        message: MeshMessage.Upstreams,
+        copies: Int,
+    ) {
+        val encoded = message.encode()
+        val targets = if (self.core) peerLinks() else coreLinks().take(copies)
+        targets.forEach { it.send(encoded) }
+    }
+
+    override fun propose(
+        command: FleetCommand,
+        done: (Result<Unit, Failure>) -> Unit,
+    ) {
+        val member = core ?: return done(Err(notLeading()))
+        onceOnLoop(done) { finish -> member.propose(command.encode()) { finish(it.toUnit()) } }
+    }
+
+    override fun confirm(done: (Result<Unit, Failure>) -> Unit) {
+        val member = core ?: return done(Err(notLeading()))
+        onceOnLoop(done) { finish -> member.confirm(finish) }
+    }
+
+    private fun onceOnLoop(
+        done: (Result<Unit, Failure>) -> Unit,
+        call: ((Result<Unit, Failure>) -> Unit) -> Unit,
+    ) = call { result -> loop.execute { done(result) } }
+
+    private fun notLeading() = ErrorKind.NotLeader.notRun("this host keeps no copy of the agreed state")
+
+    override fun report(tallies: List<RolloutTally>) {
+        this.tallies[self.address] = tallies
+        if (!leading) leader?.let(::linkTo)?.send(MeshMessage.Tallies(tallies))
+    }
+
+    override fun tallyOf(order: Long): RolloutTally =
+        tallies.values.flatten().filter { it.order == order }.fold(RolloutTally(order), RolloutTally::plus)
+
+    override fun reseed(seeds: List<HostPort>) = peers.reseed(seeds)
+
+    private fun tick() {
+        val now = nowMillis()
+        open.filter { now - it.heardAtMillis > LINK_SILENCE_MILLIS }.forEach(::closeSilent)
+        if (now - lastPulseMillis >= PULSE_MILLIS) pulse()
+        if (now - lastRefreshMillis >= REFRESH_BATCH_MILLIS) passRefreshedOn()
+        peers.due(coreLinks().mapNotNull { it.peer?.address }.toSet()).forEach(links::dial)
+        upstreams.forgetSilent().forEach { events.upstreamGone(Departure(it.upstream.id, it.upstream.startedAtMillis)) }
+        core?.let(::tend)
+    }
+
+    private fun closeSilent(link: MeshLink) {
+        logger.warn { "event=link_silent peer=${link.peer?.address} dialled=${link.dialled}" }
+        link.close()
+    }
+
+    private fun tend(member: CoreMember) {
+        if (member.initialised == false) mayInitialise()?.let(member::initialise)
+        member.joinRequest()?.let { request -> coreLinks().forEach { it.send(request) } }
+        member.maintain()
+    }
+
+    /** Returns null while this host must wait, else whether it founds the group (or joins one). */
+    private fun mayInitialise(): Boolean? {
+        val groupExists = !settings.bootstrap || leader != null || view.index > 0
+        if (groupExists) return false
+        if (nowMillis() - startedAtMillis < FOUNDING_WAIT_MILLIS) return null
+        val founder = peers.founder(open) ?: return null
+        return if (founder == self.address) true else null
+    }
+
+    private fun pulse() {
+        lastPulseMillis = nowMillis()
+        val status = core?.status
+        val lowest = if (view.index == 0L) peers.lowestCore() else null
+        val pulse = MeshMessage.Pulse(view.index, status?.leader, status?.term ?: 0, hosts, lowest).encode()
+        open.forEach { it.send(pulse) }
+    }
+
+    private fun passRefreshedOn() {
+        lastRefreshMillis = nowMillis()
+        if (refreshed.isEmpty()) return
+        val relayed = refreshed.values.map { RelayedUpstream(it.upstream, nowMillis() - it.heardAtMillis) }
+        refreshed.clear()
+        spread(MeshMessage.Upstreams(relayed, relay = !self.core), REFRESH_COPIES)
+    }
+
+    private fun opened(link: MeshLink) {
+        open += link
+        link.send(MeshMessage.Hello(self, peers.cores()))
+    }
+
+    private fun closed(link: MeshLink) {
+        open -= link
+        link.peer?.let { peer ->
+            if (linkTo(peer.address) == null) logger.info { "event=peer_lost peer=${peer.address} core=${peer.core}" }
+        }
+    }
+
+    private fun dialFailed(address: HostPort) {
+        logger.debug { "event=dial_failed peer=$address" }
+    }
+
+    private fun received(
+        link: MeshLink,
+        message: MeshMessage,
+    ) {
+        when (message) {
+            is MeshMessage.Hello -> greeted(link, message)
+            is MeshMessage.Pulse -> pulsed(link, message)
+            is MeshMessage.Cores -> learn(message.cores)
+            is MeshMessage.Upstreams -> heardOf(link, message)
+            is MeshMessage.ViewRequest -> if (view.index > message.haveIndex) link.send(MeshMessage.View(view))
+            is MeshMessage.View -> adopt(message.view)
+            is MeshMessage.Replication -> core?.receive(message)
+            is MeshMessage.Join -> core?.joinRequested(message) { link.send(it) }
+            is MeshMessage.Removed -> core?.removed(message.node)
+            is MeshMessage.Tallies -> link.peer?.let { tallies[it.address] = message.tallies }
+        }
+    }
+
+    private fun greeted(
+        link: MeshLink,
+        hello: MeshMessage.Hello,
+    ) {
+        if (hello.self.address == self.address) return link.close()
+        val known = linkTo(hello.self.address) != null
+        link.peer = hello.self
+        peers.met(hello.self)
+        if (!known) logger.info { "event=peer_linked peer=${hello.self.address} core=${hello.self.core}" }
+        learn(hello.cores + hello.self)
+        val all = upstreams.upstreams.map { RelayedUpstream(it.upstream, nowMillis() - it.heardAtMillis) }
+        if (all.isNotEmpty()) link.send(MeshMessage.Upstreams(all))
+    }
+
+    private fun learn(cores: List<PeerCard>) {
+        val news = peers.learn(cores)
+        if (news.isNotEmpty()) MeshMessage.Cores(news).encode().let { encoded -> open.forEach { it.send(encoded) } }
+    }
+
+    private fun pulsed(
+        link: MeshLink,
+        pulse: MeshMessage.Pulse,
+    ) {
+        link.pulse = pulse
+        val now = nowMillis()
+        if (pulse.viewIndex <= view.index || now - viewAskedAtMillis < VIEW_REPEAT_MILLIS) return
+        viewAskedAtMillis = now
+        link.send(MeshMessage.ViewRequest(view.index))
+    }
+
+    private fun adopt(newer: FleetView) {
+        if (newer.index <= view.index) return
+        view = newer
+        viewAskedAtMillis = 0
+        events.viewChanged(newer)
+        if (self.core) pulse()
+    }
+
+    private fun heardOf(
+        link: MeshLink,
+        message: MeshMessage.Upstreams,
+    ) {
+        message.upstreams.forEach { (upstream, ageMillis) ->
+            if (upstreams.hear(upstream, ageMillis) == RegistryNews.Changed) tellChanged(upstream)
+        }
+        message.departures.filter(upstreams::leave).forEach(events.upstreamGone)
+        if (!message.relay || !self.core) return
+        val onward = MeshMessage.Upstreams(message.upstreams, message.departures).encode()
+        peerLinks().filter { it.peer?.address != link.peer?.address }.forEach { it.send(onward) }
+    }
+
+    private fun tellChanged(upstream: FleetUpstream) {
+        upstreams.upstreams.firstOrNull { it.upstream.id == upstream.id }?.let(events.upstreamChanged)
+    }
+
+    /** Returns the newest open link to the host at [address]. */
+    private fun linkTo(address: HostPort): MeshLink? = open.lastOrNull { it.isOpen && it.peer?.address == address }
+
+    /** Returns one link for each peer. */
+    private fun peerLinks(): Collection<MeshLink> =
+        open.filter { it.isOpen && it.peer != null }.associateBy { it.peer?.address }.values
+
+    /** Returns one link for each host with a disk, those in this host's zone first. */
+    private fun coreLinks(): List<MeshLink> =
+        peerLinks().filter { it.peer?.core == true }.sortedBy { it.peer?.zone != self.zone }
+
+    override fun close() {
+        listening?.close()
+        open.toList().forEach { it.close() }
+        core?.close()
+    }
+
+    private companion object {
+        /** Hosts with a disk that pass a change on; a second one covers the loss of the first. */
+        const val CHANGE_COPIES = 2
+
+        /** Hosts with a disk that pass refreshed announcements on; they are repeated anyway. */
+        const val REFRESH_COPIES = 1
+    }
+}
+
+private fun Result<ByteArray, Failure>.toUnit(): Result<Unit, Failure> = map { }
+
+/** Which hosts with a disk are known and when each is to be dialled. */
+internal class Peers(
+    private val self: PeerCard,
+    private var seeds: List<HostPort>,
+    private val nowMillis: () -> Long,
+) {
+    private val cores = LinkedHashMap<HostPort, PeerCard>()
+    private val metAtMillis = HashMap<HostPort, Long>()
+    private val dialledAtMillis = HashMap<HostPort, Long>()
+    private val cards = HashMap<HostPort, PeerCard>()
+
+    init {
+        if (self.core) cores[self.address] = self
+        cards[self.address] = self
+    }
+
+    fun cores(): List<PeerCard> = cores.values.toList()
+
+    fun lowestCore(): HostPort? = cores.keys.minByOrNull { it.toString() }
+
+    fun reseed(newSeeds: List<HostPort>) {
+        seeds = newSeeds
+    }
+
+    fun met(card: PeerCard) {
+        metAtMillis[card.address] = nowMillis()
+        cards[card.address] = card
+    }
+
+    /** Adds hosts with a disk and returns those that were new. */
+    fun learn(told: List<PeerCard>): List<PeerCard> {
+        val news = told.filter { it.core && it.address !in cores }
+        news.forEach {
+            cores[it.address] = it
+            metAtMillis.putIfAbsent(it.address, nowMillis())
+        }
+        return news
+    }
+
+    /** Returns the hosts to dial now, given those that are linked. */
+    fun due(linkedCores: Set<HostPort>): List<HostPort> {
+        linkedCores.forEach { metAtMillis[it] = nowMillis() }
+        forgetLost(linkedCores)
+        val wanted = cores.keys + seeds.filter { linkedCores.isEmpty() || cards[it] == null || it in cores }
+        val due = (wanted - linkedCores - self.address).filter { isDue(it) }
+        due.forEach { dialledAtMillis[it] = nowMillis() }
+        return due
+    }
+
+    private fun isDue(address: HostPort) = nowMillis() - (dialledAtMillis[address] ?: Long.MIN_VALUE / 2) >= REDIAL_MILLIS
+
+    private fun forgetLost(linked: Set<HostPort>) {
+        val oldestMillis = nowMillis() - GIVEN_UP_MILLIS
+        cores.keys.removeIf { address ->
+            val lost = (metAtMillis[address] ?: 0) < oldestMillis
+            lost && address != self.address && address !in linked && address !in seeds
+        }
+    }
+
+    /**
+     * Returns the host that founds the group, or null while that isn't certain: the first seed with a disk, or, where
+     * no seed has one, the host that all seeds name as the lowest with a disk.
+     */
+    fun founder(links: Collection<MeshLink>): HostPort? {
+        val seedCards = seeds.map { cards[it] ?: return firstCoreBeforeUnknown() }
+        seedCards.firstOrNull { it.core }?.let { return it.address }
+        val named = seeds.map { seed -> nameOf(seed, links) ?: return null }.toSet()
+        return named.singleOrNull()
+    }
+
+    /** A seed that comes after a known one with a disk doesn't matter. */
+    private fun firstCoreBeforeUnknown(): HostPort? =
+        seeds.takeWhile { cards[it] != null }.firstNotNullOfOrNull { cards[it]?.takeIf(PeerCard::core) }?.address
+
+    private fun nameOf(
+        seed: HostPort,
+        links: Collection<MeshLink>,
+    ): HostPort? =
+        if (seed == self.address) lowestCore() else links.firstOrNull { it.peer?.address == seed }?.pulse?.lowestCore
+}
--- a/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
+++ b/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
@@ -97,6 +97,18 @@
     Ok(Unit)
 }
 
+/** Returns the identity of the folder on [disk], or null when it was never initialised to the end. */
+public fun folderIdentity(disk: Disk): Result<FolderIdentity?, StorageFailure> = onDisk {
+    Ok(disk.read(IDENTITY_FILE)?.let { decodeIdentity(unsealed(IDENTITY_FILE, it)) })
+}
+
+/** Deletes every file on [disk], the identity first, so that the folder can be initialised under another one. */
+public fun clearFolder(disk: Disk): Result<Unit, StorageFailure> = onDisk {
+    disk.delete(IDENTITY_FILE)
+    disk.list().forEach(disk::delete)
+    Ok(Unit)
+}
+
 /**
  * Opens the state of [node] on [disk], cutting off a write that was interrupted at the end of the log.
  *
