--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -86,11 +86,11 @@
         confidence: Int?,
     )
 
-    /** Returns whether the answer begun by [confidence] is to be dropped for one by a larger model. */
-    fun wantsLargerModel(
+    /** Returns the position of the model whose answer is to replace one of this [confidence], or null. */
+    fun largerModel(
         exchange: Exchange,
         confidence: Int?,
-    ): Boolean
+    ): Int?
 
     fun noted(
         exchange: Exchange,
@@ -149,6 +149,9 @@
     private var callerLeft = false
     private var mayHaveRun = false
 
+    /** Whole events that the caller was sent. */
+    val events: Int get() = scanner?.events ?: 0
+
     /** Whether it is known that no upstream ran the request or ever will. */
     val hasNotRun: Boolean get() = !mayHaveRun
 
@@ -229,7 +232,7 @@
         val confidence = headers[host.vocabulary.confidence]?.toIntOrNull()
         if (!isSuccess(response)) return
         host.answeredBy(this, confidence)
-        if (isStream(response) && !relaying && host.wantsLargerModel(this, confidence)) askLargerModel()
+        if (isStream(response) && !relaying) host.largerModel(this, confidence)?.let(::ask)
     }
 
     override fun content(bytes: ByteBuf) {
@@ -292,10 +295,10 @@
         if (relaying) caller.flush()
     }
 
-    private fun askLargerModel() {
+    /** Drops the answer that has begun, of which the caller has received nothing, for one by a larger model. */
+    private fun ask(larger: Int) {
         release(cancel = true)
-        scanner?.dropPartial()
-        modelIndex++
+        modelIndex = larger
         waitForUpstream()
     }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -51,6 +51,9 @@
 /** When a caller that found every upstream taken may come back, in milliseconds: some requests have ended by then. */
 private const val BUSY_RETRY_MILLIS = 400L
 
+/** When a caller that this host refuses while it stops may come back to another one, in milliseconds: at once. */
+private const val SHUTDOWN_RETRY_MILLIS = 20L
+
 /** Deadline of requests that state none, in milliseconds. */
 private const val DEFAULT_DEADLINE_MILLIS = 30_000L
 
@@ -110,7 +113,10 @@
         version: String,
     ): Boolean
 
-    /** Begins a graceful shutdown: answers end with their connections, idle connections are closed. */
+    /**
+     * Begins a graceful shutdown: no connection is accepted any more, idle ones are closed, the others end with their
+     * answers, and streams, which might not end in time, are refused.
+     */
     public fun drain()
 }
 
@@ -143,6 +149,7 @@
     private val active = LinkedHashSet<Exchange>()
     private val line = WaitingLine<Exchange>(nowMillis)
     private val budgets = HashMap<PoolName, RetryBudget>()
+    private val escalations = HashMap<PoolName, RetryBudget>()
     private val pools = HashMap<Exchange, PoolName>()
     private val rollouts = RolloutWatch(settings.rollouts, nowMillis)
     private val models = ModelPolicy()
@@ -234,6 +241,7 @@
 
     override fun drain() {
         draining = true
+        listening?.close()
         callers.closeIdle()
     }
 
@@ -284,11 +292,15 @@
     ) {
         val exchange = Exchange(request, caller, this)
         active += exchange
+        if (draining && request.route.streaming) {
+            return exchange.fail(ErrorKind.ShuttingDown.notRun(retryAfterMillis = SHUTDOWN_RETRY_MILLIS))
+        }
         val pool = poolOf(request.route, request.id)
         if (pool == null) return exchange.fail(ErrorKind.NoHealthyUpstream.notRun("the route has no pool"))
         pools[exchange] = pool.name
-        if (exchange.request.anyModel) exchange.modelIndex = models.first(request.route, pool, request.demand)
+        if (exchange.request.anyModel) exchange.modelIndex = models.first(request.route, pool)
         budgetOf(pool.name).requested()
+        escalationsOf(pool.name).requested()
         enqueue(exchange)
     }
 
@@ -304,13 +316,16 @@
         return catalog?.pools?.get(share.pool)
     }
 
-    private fun budgetOf(pool: PoolName) = budgets.getOrPut(pool) {
+    private fun budgetOf(pool: PoolName) = budgets.getOrPut(pool) { budget(REPEATED_PART) }
+
+    /** Creates a budget of this host's [part] of what all hosts together may send once more. */
+    private fun budget(part: Double): RetryBudget {
         val own = RetrySettings(
-            retryRatio = settings.retryRatio * BUDGET_PART,
-            leastRetries = maxOf(1, (settings.retrySlack * BUDGET_PART / maxOf(1, hosts)).toInt()),
+            retryRatio = settings.retryRatio * part,
+            leastRetries = maxOf(1, (settings.retrySlack * part / maxOf(1, hosts)).toInt()),
             windowMillis = settings.retryWindowMillis,
         )
-        RetryBudget(own, nowMillis)
+        return RetryBudget(own, nowMillis)
     }
 
     override fun mayRepeat(exchange: Exchange): Boolean = pools[exchange]?.let { budgetOf(it).tryRetry() } == true
@@ -430,21 +445,25 @@
         exchange: Exchange,
         confidence: Int?,
     ) {
-        if (confidence == null || !exchange.request.anyModel) return
-        models.learn(exchange.request.route, exchange.modelIndex, confidence)
+        val request = exchange.request
+        if (confidence != null && request.anyModel) {
+            models.learn(request.route, exchange.modelIndex, request.demand, confidence)
+        }
     }
 
-    override fun wantsLargerModel(
+    override fun largerModel(
         exchange: Exchange,
         confidence: Int?,
-    ): Boolean {
-        if (confidence == null || !exchange.request.anyModel) return false
+    ): Int? {
         val request = exchange.request
-        if (exchange.modelIndex >= request.route.models.lastIndex || exchange.runs >= request.route.maxAttempts) return false
-        val leftMillis = exchange.onTimeUntilMillis - nowMillis()
-        return models.wantsLarger(request.route, exchange.modelIndex, confidence, leftMillis) && mayRepeat(exchange)
+        if (confidence == null || !request.anyModel || exchange.runs >= request.route.maxAttempts) return null
+        val onTimeLeftMillis = exchange.onTimeUntilMillis - nowMillis()
+        val larger = models.larger(request.route, exchange.modelIndex, request.demand, confidence, onTimeLeftMillis)
+        return larger?.takeIf { pools[exchange]?.let { pool -> escalationsOf(pool).tryRetry() } == true }
     }
 
+    private fun escalationsOf(pool: PoolName) = escalations.getOrPut(pool) { budget(ESCALATED_PART) }
+
     override fun noted(
         exchange: Exchange,
         event: String,
@@ -456,6 +475,9 @@
         active -= exchange
         pools -= exchange
         line.remove(exchange)
+        if (end.complete && exchange.events > 0) {
+            models.learnLength(exchange.request.route, exchange.events * TOKENS_PER_EVENT)
+        }
         val ordinary = end.complete && exchange.tries == 1
         if (!ordinary || isSampled(exchange.request.id)) {
             val tookMillis = nowMillis() - exchange.request.arrivedAtMillis
@@ -561,8 +583,14 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
 
-        /** Part of the fleet's retry budget that is used, since its hosts see uneven shares of the requests. */
-        const val BUDGET_PART = 0.7
+        /** Tokens that an event usually holds; engines differ little. */
+        const val TOKENS_PER_EVENT = 7
+
+        /** Part of the fleet's retry budget for repeats after failures. */
+        const val REPEATED_PART = 0.3
+
+        /** Part of it for answers by a larger model; the rest covers the hosts' uneven shares of the requests. */
+        const val ESCALATED_PART = 0.6
     }
 }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
@@ -1,32 +1,104 @@
 /*
- * Which of a route's models answers a request that leaves the choice to the gateway. A larger model answers harder
- * requests well, costs more and takes more of an engine's time.
+ * Which of a route's models answers a request that leaves the choice to the gateway. The load it answers: models whose
+ * prices lie a factor of ten and more apart, of which the smallest answers some six in ten requests well and the
+ * largest nearly all; an answer's head carries the model's rough opinion of it before the caller has received anything.
+ *
+ * The smallest model is asked first while dropping its doubtful answers is cheaper than asking the largest at once. An
+ * answer is dropped for the largest model's when the opinion is too low for what another answer costs.
  */
 package io.carawaytrack.gateway
 
 import io.carawaytrack.fleet.CatalogPool
 import io.carawaytrack.fleet.CatalogRoute
 
+/** Opinion, 0 to 100, from which an answer is taken as it is. */
+private const val CONFIDENT = 85
+
+/** Opinion from which an answer is more likely good than not. */
+private const val LIKELY = 50
+
+/** Priced tokens for each generated one from which a second answer is dear: a long prompt for a short answer. */
+private const val DEAR_TOKENS_PER_ANSWER_TOKEN = 12.0
+
+/** Share of the price of a generated token that a prompt token has. */
+private const val PROMPT_TOKEN_PRICE = 0.25
+
+/** Weight of the newest answer in what is learned of a route: the last fifty or so count. */
+private const val NEWEST_WEIGHT = 0.02
+
+/** Share of a route's latency target that must be left to ask another model. */
+private const val LEAST_TIME_SHARE = 0.25
+
+/** What has been seen of a route's answers by its smallest model. */
+private class RouteOpinion {
+    var acceptedShare = 0.5
+    var answerTokens = 0.0
+}
+
 internal class ModelPolicy {
+    private val opinions = HashMap<String, RouteOpinion>()
+
     /** Returns the position of the model to ask first. */
     fun first(
         route: CatalogRoute,
         pool: CatalogPool,
-        demand: PromptDemand,
-    ): Int = route.models.lastIndex
+    ): Int {
+        val small = priceOf(route, pool, 0)
+        val large = priceOf(route, pool, route.models.lastIndex)
+        return if (small < opinionOf(route).acceptedShare * large) 0 else route.models.lastIndex
+    }
 
     /** Takes in the opinion that the model at [index] has of its answer. */
     fun learn(
         route: CatalogRoute,
         index: Int,
+        demand: PromptDemand,
         confidence: Int,
-    ) = Unit
+    ) {
+        if (index != 0) return
+        val opinion = opinionOf(route)
+        val accepted = if (confidence >= leastConfidence(route, demand)) 1.0 else 0.0
+        opinion.acceptedShare += (accepted - opinion.acceptedShare) * NEWEST_WEIGHT
+    }
 
-    /** Returns whether the answer of the model at [index] is to be dropped for one of the next larger model. */
-    fun wantsLarger(
+    /** Takes in how many tokens an answer of [route] had. */
+    fun learnLength(
+        route: CatalogRoute,
+        answerTokens: Int,
+    ) {
+        val opinion = opinionOf(route)
+        val known = opinion.answerTokens
+        opinion.answerTokens = if (known == 0.0) answerTokens.toDouble() else known + (answerTokens - known) * NEWEST_WEIGHT
+    }
+
+    /** Returns the position of the model whose answer is to replace the one by the model at [index], or null. */
+    fun larger(
         route: CatalogRoute,
         index: Int,
+        demand: PromptDemand,
         confidence: Int,
         onTimeLeftMillis: Long,
-    ): Boolean = false
+    ): Int? {
+        val last = route.models.lastIndex
+        val tooLate = onTimeLeftMillis < route.latencyTargetMillis * LEAST_TIME_SHARE
+        return last.takeIf { index < last && !tooLate && confidence < leastConfidence(route, demand) }
+    }
+
+    private fun leastConfidence(
+        route: CatalogRoute,
+        demand: PromptDemand,
+    ): Int {
+        val answerTokens = opinionOf(route).answerTokens
+        if (answerTokens == 0.0) return CONFIDENT
+        val priced = demand.promptTokens * PROMPT_TOKEN_PRICE + answerTokens
+        return if (priced / answerTokens >= DEAR_TOKENS_PER_ANSWER_TOKEN) LIKELY else CONFIDENT
+    }
+
+    private fun opinionOf(route: CatalogRoute) = opinions.getOrPut(route.name, ::RouteOpinion)
+
+    private fun priceOf(
+        route: CatalogRoute,
+        pool: CatalogPool,
+        index: Int,
+    ): Double = pool.engine?.models?.firstOrNull { it.model == route.models[index] }?.costPerKiloToken ?: 0.0
 }
