--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/Catalog.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/Catalog.kt
@@ -104,7 +104,7 @@
 /** Bounds what a caller may send and how long it may take. */
 public data class CallerLimits(
     val maxHeaderBytes: Int = 16_384,
-    val maxBodyBytes: Long = 4L * 1024 * 1024,
+    val maxBodyBytes: Long = 4_194_304,
     val headerTimeoutMillis: Long = 3_000,
     val idleTimeoutMillis: Long = 15_000,
 )
--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
@@ -110,9 +110,11 @@
     }
 }
 
-private fun RolloutTally.isBad(): Boolean = failsMore() || new.any { it.failsMoreThan(oldOf(it)) || it.isSlow(oldOf(it)) }
+private fun RolloutTally.isBad(): Boolean =
+    failsMore() || new.any { it.failsMoreThan(oldOf(it)) || it.isSlow(oldOf(it)) }
 
-private fun RolloutTally.oldOf(tally: RouteTally): RouteTally = old.firstOrNull { it.route == tally.route } ?: tally.copy(good = 0, failed = 0, timeMillis = 0)
+private fun RolloutTally.oldOf(tally: RouteTally): RouteTally =
+    old.firstOrNull { it.route == tally.route } ?: tally.copy(good = 0, failed = 0, timeMillis = 0)
 
 private fun RolloutTally.failsMore(): Boolean {
     val all = RouteTally("all")
--- /dev/null
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
@@ -0,0 +1,113 @@
+/*
+ * What was seen of a roll-out against its verdict, and the exposure of a version that turns out bad.
+ */
+package io.carawaytrack.fleet
+
+import io.carawaytrack.model.PoolName
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import kotlin.random.Random
+
+private const val DURATION_MILLIS = 24_000L
+
+class RolloutPolicyTest {
+    private val rollout = FleetRollout(PoolName("llm"), "v2", 1, DURATION_MILLIS, 0, FleetRolloutPhase.Running)
+
+    private fun tally(
+        old: RouteTally = RouteTally("r", good = 200, timeMillis = 20_000),
+        new: RouteTally,
+    ) = RolloutTally(1, listOf(old), listOf(new))
+
+    private class Case(
+        val name: String,
+        val tally: RolloutTally,
+        val elapsedMillis: Long,
+        val ready: Boolean,
+        val verdict: FleetRolloutPhase?,
+    )
+
+    @TestFactory
+    fun `a roll-out is judged by what was seen`(): List<DynamicTest> = listOf(
+        Case("goes on while nothing is wrong", tally(new = RouteTally("r", 20, 0, 2_000)), 6_000, true, null),
+        Case(
+            "completes shortly before its end",
+            tally(new = RouteTally("r", 20, 0, 2_000)),
+            22_500,
+            true,
+            FleetRolloutPhase.Completed,
+        ),
+        Case(
+            "goes back when a third of the answers fail",
+            tally(new = RouteTally("r", 8, 4, 800)),
+            3_000,
+            true,
+            FleetRolloutPhase.RolledBack,
+        ),
+        Case(
+            "stays when the old version fails as often",
+            tally(RouteTally("r", 200, 80, 20_000), RouteTally("r", 10, 4, 1_000)),
+            3_000,
+            true,
+            null,
+        ),
+        Case(
+            "goes back when answers take several times as long",
+            tally(new = RouteTally("r", 10, 0, 8_000)),
+            3_000,
+            true,
+            FleetRolloutPhase.RolledBack,
+        ),
+        Case(
+            "goes back when one route of many fails",
+            RolloutTally(
+                1,
+                listOf(RouteTally("r", 200), RouteTally("s", 50)),
+                listOf(RouteTally("r", 90), RouteTally("s", 3, 5)),
+            ),
+            3_000,
+            true,
+            FleetRolloutPhase.RolledBack,
+        ),
+        Case("goes back at its end when nothing was seen", RolloutTally(1), 23_000, true, FleetRolloutPhase.RolledBack),
+        Case(
+            "goes back at its end when the version is gone",
+            tally(new = RouteTally("r", 20, 0, 2_000)),
+            23_000,
+            false,
+            FleetRolloutPhase.RolledBack,
+        ),
+    ).map { case ->
+        dynamicTest(case.name) {
+            expectThat(rollout.verdict(case.tally, case.elapsedMillis, case.ready)).isEqualTo(case.verdict)
+        }
+    }
+
+    @Test
+    fun `a bad version gets no more than its share of a day's requests`() {
+        val bounds = RolloutBounds(exposureShare = 0.15, exposureSlack = 30)
+        listOf(1L, 2L, 3L, 4L, 5L).forEach { seed ->
+            val random = Random(seed)
+            var exposed = 0
+            var all = 0
+            var tally = RolloutTally(1, listOf(RouteTally("r")), listOf(RouteTally("r")))
+            var current = rollout
+            for (millis in 0 until DURATION_MILLIS step 30) {
+                all++
+                val new = random.nextDouble() < current.shareAt(millis, bounds)
+                if (new) exposed++
+                val failed = if (new && random.nextDouble() < 0.4) 1 else 0
+                val seen = RouteTally("r", good = 1 - failed, failed = failed, timeMillis = 100)
+                val added = if (new) RolloutTally(1, new = listOf(seen)) else RolloutTally(1, old = listOf(seen))
+                tally += added
+                current.verdict(tally, millis, newVersionReady = true)?.let { current = current.copy(phase = it) }
+            }
+            expectThat(current.phase).isEqualTo(FleetRolloutPhase.RolledBack)
+            expectThat(exposed.toDouble()).isLessThanOrEqualTo(all * bounds.exposureShare + bounds.exposureSlack)
+        }
+    }
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -21,6 +21,7 @@
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -28,12 +29,15 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -83,8 +87,11 @@
         .childHandler(
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    val codec = HttpServerCodec(MAX_LINE_BYTES, events.limits().maxHeaderBytes, MAX_CHUNK_BYTES)
-                    channel.pipeline().addLast(codec, CallerConnection(channel, this@CallerConnections))
+                    channel.pipeline().addLast(
+                        UnambiguousRequestDecoder(events.limits().maxHeaderBytes),
+                        HttpResponseEncoder(),
+                        CallerConnection(channel, this@CallerConnections),
+                    )
                 }
             },
         ).bind(address.host, address.port)
@@ -151,7 +158,8 @@
         }
 
         private fun sendContinue() {
-            val interim = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
+            val interim =
+                DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
             channel.writeAndFlush(interim)
         }
 
@@ -321,3 +329,17 @@
 }
 
 internal typealias CallerConnection = CallerConnections.CallerConnection
+
+/** Takes a request with both a length and a chunked body, of which two readers see different ends, as malformed. */
+private class UnambiguousRequestDecoder(
+    maxHeaderBytes: Int,
+) : HttpRequestDecoder(
+        HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderSize(maxHeaderBytes)
+            .setMaxChunkSize(MAX_CHUNK_BYTES),
+    ) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+        message.decoderResult = DecoderResult.failure(IllegalArgumentException("a length and a chunked body"))
+    }
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -6,6 +6,7 @@
 import io.carawaytrack.fleet.CatalogOrganisation
 import io.carawaytrack.fleet.CatalogRoute
 import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.fleet.Match
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
@@ -18,7 +19,6 @@
 import io.netty.handler.codec.http.HttpVersion
 
 private const val LAST_EVENT_ID = "Last-Event-Id"
-private const val ANY_MODEL = "*"
 private const val BEARER = "Bearer "
 
 /** Most urgent value that a request of the lowest rank gets, and the step between two ranks. */
@@ -27,19 +27,20 @@
 private const val FIRST_URGENCY = 1
 
 /** Headers that concern one connection only, in lower case. */
-private val connectionHeaders = setOf(
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-)
+private val connectionHeaders =
+    setOf(
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
 
 /**
  * Holds a request that a route takes.
@@ -67,6 +68,34 @@
     fun lastEventId(): String? = head.headers()[LAST_EVENT_ID]
 }
 
+/** Deadline of requests that state none, in milliseconds: as long as the longest of today's routes waits. */
+private const val DEFAULT_DEADLINE_MILLIS = 30_000L
+
+/** Reads a request that [match] takes and that arrived at [nowMillis]. */
+internal fun readRequest(
+    head: HttpRequest,
+    body: ByteBuf,
+    match: Match.Found,
+    vocabulary: HeaderVocabulary,
+    nowMillis: Long,
+): CallerRequest {
+    val headers = head.headers()
+    val id = headers[vocabulary.attemptId].orEmpty()
+    val deadlineMillis = headers[vocabulary.deadlineMillis]?.toLongOrNull() ?: DEFAULT_DEADLINE_MILLIS
+    val demand = promptDemand(headers[vocabulary.tokenUsage], headers[vocabulary.promptParts])
+    return CallerRequest(
+        head = head,
+        body = body,
+        id = id,
+        route = match.route,
+        organisation = match.organisation,
+        arrivedAtMillis = nowMillis,
+        endsAtMillis = nowMillis + minOf(deadlineMillis, match.route.timeoutMillis),
+        demand = demand,
+        session = sessionOf(headers, demand, vocabulary, id),
+    )
+}
+
 /** Reads what tells an organisation's caller from others. */
 internal fun bearerKey(headers: HttpHeaders): String? {
     val value = headers[HttpHeaderNames.AUTHORIZATION] ?: return null
@@ -135,9 +164,6 @@
     return headers
 }
 
-/** Returns whether the caller leaves the choice of the model to the gateway. */
-internal fun leavesModelOpen(value: String?): Boolean = value == null || value == ANY_MODEL
-
 /** Creates headers that take what another message's reader has checked already. */
 internal fun unvalidatedHeaders(): HttpHeaders = unvalidated.newHeaders()
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
@@ -33,7 +33,7 @@
     /** Whether nothing of an unfinished event is kept. */
     val isAtBoundary: Boolean get() = !partial.isReadable
 
-    /** Takes [bytes], which it releases, and returns the whole events that have become known; the caller releases them. */
+    /** Takes [bytes], which it releases, and returns whole events that have become known, for the caller to release. */
     fun take(
         bytes: ByteBuf,
         allocator: ByteBufAllocator,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -4,22 +4,14 @@
  */
 package io.carawaytrack.gateway
 
+import io.carawaytrack.fleet.CatalogPool
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Execution
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.UpstreamId
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
-import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpStatusClass
-
-/** Largest plain answer that is held until it is whole, in bytes; a larger one is passed on as it comes. */
-private const val HELD_ANSWER_BYTES = 64 * 1024
 
 /** Longest pause of a stream that is laid to its upstream when other signs are against it too, in milliseconds. */
 private const val STALLED_STREAM_MILLIS = 1_500L
@@ -43,15 +35,25 @@
 private const val CALL_PATIENCE_MILLIS = 700L
 
 /** Says what an exchange waits for. */
-internal enum class ExchangePhase { Waiting, Sent, Relaying, Over }
+internal enum class ExchangePhase { Waiting, Sent, Over }
 
 /** Holds what is known of one exchange's end, for the log and the metrics. */
 internal class ExchangeEnd(
     val exchange: Exchange,
     val status: Int,
     val complete: Boolean,
-    val reason: String,
-)
+    private val reason: String,
+) {
+    /** Returns what the log says of the end at [nowMillis]. */
+    fun fields(nowMillis: Long): Map<String, Any?> = mapOf(
+        "status" to status,
+        "complete" to complete,
+        "reason" to reason,
+        "tookMillis" to nowMillis - exchange.request.arrivedAtMillis,
+        "firstByteMillis" to exchange.firstByteMillis,
+        "tries" to exchange.tries,
+    )
+}
 
 /** What an exchange asks of its gateway. */
 internal interface ExchangeHost {
@@ -103,6 +105,7 @@
 
 internal class Exchange(
     val request: CallerRequest,
+    val pool: CatalogPool?,
     private val caller: CallerConnection,
     private val host: ExchangeHost,
 ) : CallerListener,
@@ -114,7 +117,6 @@
     override val patienceMillis: Long
         get() = if (route.streaming) route.latencyTargetMillis / STREAM_PATIENCE_DIVISOR else CALL_PATIENCE_MILLIS
 
-
     var phase = ExchangePhase.Waiting
         private set
 
@@ -139,18 +141,16 @@
         private set
 
     private val route get() = request.route
-    private val scanner = if (route.streaming && route.resumable) EventScanner(request.lastEventId()) else null
+    private val relay = AnswerRelay(request, caller, host.vocabulary)
     private var attempt: Attempt? = null
     private var sentAtMillis = 0L
     private var lastContentMillis = 0L
     private var response: HttpResponse? = null
-    private var held: CompositeByteBuf? = null
-    private var relaying = false
     private var callerLeft = false
     private var mayHaveRun = false
 
     /** Whole events that the caller was sent. */
-    val events: Int get() = scanner?.events ?: 0
+    val events: Int get() = relay.events
 
     /** Whether it is known that no upstream ran the request or ever will. */
     val hasNotRun: Boolean get() = !mayHaveRun
@@ -165,11 +165,10 @@
         model: String?,
     ) {
         val now = host.nowMillis()
-        val lastEventId = scanner?.lastId ?: request.lastEventId()
-        val sent =
-            request.forUpstream(upstream.upstream, host.vocabulary, request.endsAtMillis - now, model, lastEventId)
+        val leftMillis = request.endsAtMillis - now
+        val sent = request.forUpstream(upstream.upstream, host.vocabulary, leftMillis, model, relay.lastEventId)
         val next = Attempt(sent, host.vocabulary.attemptId, this)
-        phase = if (relaying) ExchangePhase.Relaying else ExchangePhase.Sent
+        phase = ExchangePhase.Sent
         target = upstream
         attempt = next
         response = null
@@ -187,8 +186,7 @@
         when {
             phase == ExchangePhase.Over -> return
             now >= request.endsAtMillis -> timeOut()
-            phase == ExchangePhase.Waiting -> return
-            isStalled(now) -> leaveSilentUpstream()
+            phase == ExchangePhase.Sent && isStalled(now) -> leaveSilentUpstream()
         }
     }
 
@@ -199,19 +197,18 @@
     }
 
     private fun isStalled(now: Long): Boolean {
-        if (!route.repeatable || scanner?.damaged == true) return false
         val upstream = target ?: return false
+        if (!route.repeatable || !relay.canGoOn) return false
         val quietMillis = now - maxOf(lastContentMillis, sentAtMillis)
         return when {
             !route.streaming -> quietMillis > route.latencyTargetMillis * REPEAT_AFTER_TARGETS && tries == 1
             upstream.gone -> quietMillis > STALLED_STREAM_MILLIS
-            upstream.isSuspect -> quietMillis > minOf(STALLED_STREAM_MILLIS, firstEventLimitMillis())
+            upstream.isSuspect ->
+                quietMillis > minOf(STALLED_STREAM_MILLIS, (route.latencyTargetMillis * FIRST_EVENT_PART).toLong())
             else -> quietMillis > maxOf(DEAD_STREAM_MILLIS, route.latencyTargetMillis)
         }
     }
 
-    private fun firstEventLimitMillis() = (route.latencyTargetMillis * FIRST_EVENT_PART).toLong()
-
     private fun leaveSilentUpstream() {
         val left = target ?: return
         if (!mayGoOn()) return
@@ -229,113 +226,48 @@
         reportedLoad(headers[host.vocabulary.load])?.let(upstream::reported)
         this.response = response
         firstByteMillis = firstByteMillis ?: (host.nowMillis() - request.arrivedAtMillis)
+        if (!response.isSuccess()) return
         val confidence = headers[host.vocabulary.confidence]?.toIntOrNull()
-        if (!isSuccess(response)) return
         host.answeredBy(this, confidence)
-        if (isStream(response) && !relaying) host.largerModel(this, confidence)?.let(::ask)
+        if (relay.isStream(response) && !relay.begun) host.largerModel(this, confidence)?.let(::ask)
+    }
+
+    /** Drops the answer that has begun, of which the caller has received nothing, for one by a larger model. */
+    private fun ask(larger: Int) {
+        release(cancel = true)
+        modelIndex = larger
+        waitForUpstream()
     }
 
     override fun content(bytes: ByteBuf) {
         val head = response
-        val now = host.nowMillis()
+        lastContentMillis = host.nowMillis()
         target?.answered()
-        lastContentMillis = now
-        if (head == null || phase == ExchangePhase.Over) {
+        if (head == null || phase != ExchangePhase.Sent) {
             bytes.release()
-            return
-        }
-        when {
-            isStream(head) -> relayEvents(head, bytes)
-            relaying -> caller.write(bytes)
-            else -> hold(head, bytes)
+        } else if (!relay.take(head, bytes)) {
+            failed(AttemptEnd.Broken)
         }
     }
 
-    private fun isStream(head: HttpResponse) = route.streaming && isSuccess(head)
-
-    private fun hold(
-        head: HttpResponse,
-        bytes: ByteBuf,
-    ) {
-        val sum = held ?: Unpooled.compositeBuffer(MAX_PARTS).also { held = it }
-        sum.addComponent(true, bytes)
-        if (sum.readableBytes() <= HELD_ANSWER_BYTES || refusal(head) != null) return
-        held = null
-        beginRelay(head)
-        caller.write(sum)
-    }
-
-    private fun relayEvents(
-        head: HttpResponse,
-        bytes: ByteBuf,
-    ) {
-        val events = scanner?.take(bytes, caller.channel.alloc()) ?: bytes
-        if (scanner?.damaged == true) return failed(AttemptEnd.Broken)
-        if (!events.isReadable) {
-            events.release()
-            return
-        }
-        if (!relaying) {
-            if (!sealed(head)) {
-                events.release()
-                return failed(AttemptEnd.Broken)
-            }
-            beginRelay(head)
-        }
-        caller.write(events)
-    }
-
-    private fun beginRelay(head: HttpResponse) {
-        relaying = true
-        phase = ExchangePhase.Relaying
-        caller.begin(head.status(), answerHeaders(head.headers()))
-    }
-
-    override fun flush() {
-        if (relaying) caller.flush()
-    }
-
-    /** Drops the answer that has begun, of which the caller has received nothing, for one by a larger model. */
-    private fun ask(larger: Int) {
-        release(cancel = true)
-        modelIndex = larger
-        waitForUpstream()
-    }
+    override fun flush() = relay.flush()
 
     override fun complete() {
         val head = response ?: return failed(AttemptEnd.Broken)
-        val refusal = refusal(head)
+        val refusal = head.refusal(host.vocabulary)
         when {
             refusal != null -> refusedByUpstream(head, refusal)
-            isStream(head) -> completeStream(head)
-            relaying -> finishRelay(head)
-            isSuccess(head) && !sealed(head) -> failed(AttemptEnd.Broken)
-            isFailure(head) && mayTryElsewhere() -> failedByUpstream(head)
-            else -> passOn(head)
+            !relay.isWhole(head) -> failed(AttemptEnd.Broken)
+            head.isFailure() && !relay.begun && mayGoOn() -> failedByUpstream(head)
+            else -> finish(head)
         }
     }
 
-    private fun completeStream(head: HttpResponse) {
-        if (scanner?.isAtBoundary == false || !sealed(head)) return failed(AttemptEnd.Broken)
-        if (!relaying) beginRelay(head)
-        finishRelay(head)
-    }
-
-    private fun finishRelay(head: HttpResponse) {
-        observe(good = !isFailure(head))
-        release(cancel = false)
-        end(head.status().code(), complete = true, reason = "complete")
-        caller.finish()
-    }
-
-    private fun passOn(head: HttpResponse) {
-        val content = held ?: Unpooled.EMPTY_BUFFER
-        held = null
-        observe(good = !isFailure(head))
-        release(cancel = false)
-        val headers = answerHeaders(head.headers())
+    private fun finish(head: HttpResponse) {
+        observe(good = !head.isFailure())
+        letGo()
         end(head.status().code(), complete = true, reason = "complete")
-        if (callerLeft) content.release() else caller.answer(head.status(), headers, content)
+        if (callerLeft) relay.forgetUnsent() else relay.finish(head)
     }
 
     /** Leaves an upstream that ran the request and failed it. */
@@ -363,7 +295,7 @@
         release(cancel = false, ran = false)
         when {
             callerLeft -> abandon()
-            refusal == UpstreamRefusal.Rejected && tries >= MOST_REFUSALS ->
+            refusal == UpstreamRefusal.Rejected && tries >= MOST_REJECTIONS ->
                 fail(Failure(ErrorKind.NoHealthyUpstream, execution(), "upstreams reject the request"))
             else -> waitForUpstream()
         }
@@ -385,8 +317,7 @@
         release(cancel = true, ran = !neverSent)
         when {
             callerLeft -> abandon()
-            neverSent -> waitForUpstream()
-            mayGoOn() -> waitForUpstream()
+            neverSent || mayGoOn() -> waitForUpstream()
             else -> fail(Failure(ErrorKind.UpstreamFailed, execution(), "the upstream broke off: $end"))
         }
     }
@@ -397,30 +328,27 @@
         host.observed(this, upstream.upstream, good, host.nowMillis() - sentAtMillis)
     }
 
-    /** Lets go of the attempt; [ran] tells whether it may have run. */
+    /** Lets go of the attempt and of what it brought that the caller has not; [ran] tells whether it may have run. */
     private fun release(
         cancel: Boolean,
         ran: Boolean = true,
     ) {
-        if (attempt != null) {
-            target?.ended()
-            if (ran) mayHaveRun = true
-        }
+        if (attempt != null && ran) mayHaveRun = true
         if (cancel) attempt?.cancel()
+        letGo()
+        relay.forgetUnsent()
+    }
+
+    private fun letGo() {
+        if (attempt != null) target?.ended()
         attempt = null
         target = null
-        held?.release()
-        held = null
-        scanner?.dropPartial()
     }
 
-    private fun mayTryElsewhere() = !relaying && mayGoOn()
-
     /** Returns whether the request may be sent to another upstream although one may have run it. */
     private fun mayGoOn(): Boolean {
         val leftMillis = request.endsAtMillis - host.nowMillis()
-        if (!route.repeatable || callerLeft || leftMillis < LEAST_LEFT_MILLIS) return false
-        if (relaying && scanner == null) return false
+        if (!route.repeatable || callerLeft || leftMillis < LEAST_LEFT_MILLIS || !relay.canGoOn) return false
         return runs < route.maxAttempts && host.mayRepeat(this)
     }
 
@@ -435,11 +363,7 @@
         if (phase == ExchangePhase.Over) return
         val answer = answerTo(failure)
         end(answer.status, complete = false, reason = failure.kind.name)
-        when {
-            callerLeft -> return
-            relaying -> caller.abort()
-            else -> caller.answer(HttpResponseStatus.valueOf(answer.status), answer.headers, answer.content)
-        }
+        if (callerLeft) answer.content.release() else relay.end(answer)
     }
 
     private fun execution() = if (hasNotRun) Execution.NotRun else Execution.MayHaveRun
@@ -470,67 +394,13 @@
         host.ended(ExchangeEnd(this, status, complete, reason))
     }
 
-    private fun isSuccess(head: HttpResponse) = head.status().codeClass() == HttpStatusClass.SUCCESS
-
-    private fun isFailure(head: HttpResponse) = head.status().codeClass() == HttpStatusClass.SERVER_ERROR
-
-    private fun sealed(head: HttpResponse) = head.headers().contains(host.vocabulary.seal)
-
-    private fun refusal(head: HttpResponse): UpstreamRefusal? {
-        val status = head.status().code()
-        val notExecuted = head.headers().contains(host.vocabulary.notExecuted)
-        return when {
-            status == HttpResponseStatus.MISDIRECTED_REQUEST.code() -> UpstreamRefusal.AnotherUpstream
-            !notExecuted -> null
-            status == HttpResponseStatus.SERVICE_UNAVAILABLE.code() -> UpstreamRefusal.Full
-            status == HttpResponseStatus.TOO_MANY_REQUESTS.code() -> UpstreamRefusal.Full
-            else -> UpstreamRefusal.Rejected
-        }
-    }
-
     private companion object {
         const val CALLER_GONE_STATUS = 499
-        const val MAX_PARTS = 64
 
         /** Refusals of a request by its form after which it isn't tried elsewhere. */
-        const val MOST_REFUSALS = 3
+        const val MOST_REJECTIONS = 3
 
         /** Time for which an upstream that broke off may be a freshly started one, in milliseconds. */
         const val DOUBT_MILLIS = 1_500L
     }
 }
-
-/** Says why an upstream has not run a request. */
-internal enum class UpstreamRefusal {
-    /** Another upstream holds the address now. */
-    AnotherUpstream,
-
-    /** It has no room. */
-    Full,
-
-    /** It rejects this request. */
-    Rejected,
-}
-
-/** Holds an answer of the gateway's own. */
-internal class OwnAnswer(
-    val status: Int,
-    val headers: HttpHeaders,
-    val content: ByteBuf,
-)
-
-private const val MILLIS_PER_SECOND = 1_000.0
-
-/** Status codes that promise that the request has not run. */
-private val promises = setOf(408, 421, 429, 503)
-
-/** Returns the answer to a caller; one that promises that nothing ran becomes 502 where that isn't known. */
-internal fun answerTo(failure: Failure): OwnAnswer {
-    val stated = failure.kind.status
-    val untrue = stated in promises && failure.execution != Execution.NotRun
-    val status = if (untrue) ErrorKind.UpstreamFailed.status else stated
-    val headers = unvalidatedHeaders()
-    headers[HttpHeaderNames.CONTENT_TYPE] = "text/plain; charset=utf-8"
-    failure.retryAfterMillis?.let { headers[HttpHeaderNames.RETRY_AFTER] = (it / MILLIS_PER_SECOND).toString() }
-    return OwnAnswer(status, headers, Unpooled.copiedBuffer(failure.detail + "\n", Charsets.UTF_8))
-}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/HttpEndpoint.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/HttpEndpoint.kt
@@ -54,24 +54,26 @@
     group: EventLoopGroup,
     handle: (EndpointCall, (EndpointAnswer) -> Unit) -> Unit,
 ): AutoCloseable {
-    val initializer = object : ChannelInitializer<SocketChannel>() {
-        override fun initChannel(channel: SocketChannel) {
-            channel.pipeline().addLast(
-                HttpServerCodec(),
-                HttpObjectAggregator(MAX_BODY_BYTES),
-                EndpointHandler(handle),
-            )
+    val initializer =
+        object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                channel.pipeline().addLast(
+                    HttpServerCodec(),
+                    HttpObjectAggregator(MAX_BODY_BYTES),
+                    EndpointHandler(handle),
+                )
+            }
         }
-    }
-    val listening: Channel = ServerBootstrap()
-        .group(group)
-        .channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childHandler(initializer)
-        .bind(address.host, address.port)
-        .syncUninterruptibly()
-        .channel()
+    val listening: Channel =
+        ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer)
+            .bind(address.host, address.port)
+            .syncUninterruptibly()
+            .channel()
     return AutoCloseable { listening.close() }
 }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
@@ -68,7 +68,8 @@
     ) {
         val opinion = opinionOf(route)
         val known = opinion.answerTokens
-        opinion.answerTokens = if (known == 0.0) answerTokens.toDouble() else known + (answerTokens - known) * NEWEST_WEIGHT
+        opinion.answerTokens =
+            if (known == 0.0) answerTokens.toDouble() else known + (answerTokens - known) * NEWEST_WEIGHT
     }
 
     /** Returns the position of the model whose answer is to replace the one by the model at [index], or null. */
@@ -100,5 +101,8 @@
         route: CatalogRoute,
         pool: CatalogPool,
         index: Int,
-    ): Double = pool.engine?.models?.firstOrNull { it.model == route.models[index] }?.costPerKiloToken ?: 0.0
+    ): Double = pool.engine
+        ?.models
+        ?.firstOrNull { it.model == route.models[index] }
+        ?.costPerKiloToken ?: 0.0
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptMemory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptMemory.kt
@@ -13,9 +13,10 @@
 internal class PromptMemory(
     private val nowMillis: () -> Long,
 ) {
-    private val usedAtMillis = object : LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-        override fun removeEldestEntry(eldest: Map.Entry<String, Long>): Boolean = size > MAX_PARTS
-    }
+    private val usedAtMillis =
+        object : LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<String, Long>): Boolean = size > MAX_PARTS
+        }
 
     /** Notes that the shared parts of [demand] are read for [model]. */
     fun noteRead(
--- /dev/null
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestLog.kt
@@ -0,0 +1,70 @@
+/*
+ * The log's lines on requests. Refusals, failures and repeats are always written, up to a bound for each second; of
+ * ordinary requests a fixed share, drawn by their identifier so that every host writes of the same ones.
+ */
+package io.carawaytrack.gateway
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
+
+private val logger = KotlinLogging.logger {}
+
+/** One in this many ordinary requests is written of. */
+private const val SAMPLED_ONE_IN = 16
+
+/** Lines on requests that one second may bring: at a few hundred bytes each a small part of a thin host's link. */
+private const val LINES_PER_SECOND = 150
+
+private const val MILLIS_PER_SECOND = 1_000L
+
+internal class RequestLog(
+    private val nowMillis: () -> Long,
+) {
+    private var second = 0L
+    private var lines = 0
+
+    /** Writes of [exchange], with what was known when it was decided on. */
+    fun write(
+        event: String,
+        exchange: Exchange,
+        configuration: Long?,
+        detail: Map<String, Any?>,
+    ) {
+        if (!mayWrite()) return
+        val request = exchange.request
+        val target = exchange.target
+        val common = mapOf(
+            "requestId" to request.id,
+            "route" to request.route.name,
+            "organisation" to request.organisation?.name?.value,
+            "upstream" to target?.upstream?.id?.value,
+            "modelIndex" to exchange.modelIndex,
+            "configuration" to configuration,
+            "heardMillisAgo" to target?.let { nowMillis() - it.heardAtMillis },
+            "load" to target?.estimatedLoad(),
+        )
+        logEvent(event, common + detail)
+    }
+
+    /** Returns whether the ordinary request [id] is written of. */
+    fun isSampled(id: String): Boolean = (unitHash(id) * SAMPLED_ONE_IN).toInt() == 0
+
+    private fun mayWrite(): Boolean {
+        val now = nowMillis() / MILLIS_PER_SECOND
+        if (now != second) {
+            if (lines > LINES_PER_SECOND) logEvent("lines_dropped", mapOf("lines" to lines - LINES_PER_SECOND))
+            second = now
+            lines = 0
+        }
+        return ++lines <= LINES_PER_SECOND
+    }
+}
+
+/** Writes one line for [event]; fields without a value are left out. */
+internal fun logEvent(
+    event: String,
+    fields: Map<String, Any?>,
+): Unit = logger.at(Level.INFO) {
+    message = event
+    payload = fields.filterValues { it != null }
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RolloutWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RolloutWatch.kt
@@ -30,13 +30,13 @@
         running.forEach { watched.getOrPut(it) { Watched(nowMillis()) } }
     }
 
-    /** Returns whether a session at [point], 0 to 1, goes to the new version; one that does stays there. */
+    /** Returns whether [session] goes to the new version; one that does stays there. */
     fun takesNew(
         rollout: FleetRollout,
-        point: Double,
+        session: String,
     ): Boolean {
         val sinceMillis = watched[rollout.order]?.sinceMillis ?: return false
-        return point < rollout.shareAt(nowMillis() - sinceMillis, bounds)
+        return unitHash(session) < rollout.shareAt(nowMillis() - sinceMillis, bounds)
     }
 
     /** Counts an answer or a failure of [version]. */
@@ -48,7 +48,16 @@
         firstByteMillis: Long,
     ) {
         val tallies = watched[rollout.order]?.let { if (version == rollout.target) it.new else it.old } ?: return
-        val seen = if (good) RouteTally(route, good = 1, timeMillis = firstByteMillis) else RouteTally(route, failed = 1)
+        val seen =
+            if (good) {
+                RouteTally(
+                    route,
+                    good = 1,
+                    timeMillis = firstByteMillis,
+                )
+            } else {
+                RouteTally(route, failed = 1)
+            }
         tallies.merge(route, seen, RouteTally::plus)
     }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -47,10 +47,11 @@
 private const val MILLIS_PER_SECOND = 1_000L
 private const val KEEP_ALIVE = "Keep-Alive"
 
-private val decoding = HttpDecoderConfig()
-    .setMaxInitialLineLength(MAX_LINE_BYTES)
-    .setMaxHeaderSize(MAX_HEADER_BYTES)
-    .setMaxChunkSize(MAX_CHUNK_BYTES)
+private val decoding =
+    HttpDecoderConfig()
+        .setMaxInitialLineLength(MAX_LINE_BYTES)
+        .setMaxHeaderSize(MAX_HEADER_BYTES)
+        .setMaxChunkSize(MAX_CHUNK_BYTES)
 
 /** Says how an attempt ended without a complete answer. */
 internal enum class AttemptEnd {
@@ -117,7 +118,6 @@
 internal class UpstreamConnections(
     private val group: EventLoopGroup,
     private val nowMillis: () -> Long,
-    private val onOpened: () -> Unit,
 ) {
     private val idle = HashMap<HostPort, ArrayDeque<UpstreamConnection>>()
 
@@ -172,7 +172,6 @@
             .connect(address.host, address.port)
             .addListener { opening ->
                 if (opening.isSuccess) {
-                    onOpened()
                     connection.carry(attempt)
                 } else {
                     neverSent(attempt)
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EventScannerTest.kt
@@ -0,0 +1,48 @@
+/*
+ * Bytes of a stream as they arrive, and the whole events that go on to the caller.
+ */
+package io.carawaytrack.gateway
+
+import io.netty.buffer.ByteBufAllocator
+import io.netty.buffer.Unpooled
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+
+class EventScannerTest {
+    private class Case(
+        val name: String,
+        val arrived: List<String>,
+        val passedOn: String,
+        val lastId: String?,
+        val whole: Boolean = true,
+        val resumedAfter: String? = null,
+    )
+
+    @TestFactory
+    fun `only whole events that the caller lacks are passed on`(): List<DynamicTest> = listOf(
+        Case("one event", listOf("id: 1\ndata: a\n\n"), "id: 1\ndata: a\n\n", "1"),
+        Case("an event in three parts", listOf("id: 1\nda", "ta: a\n", "\n"), "id: 1\ndata: a\n\n", "1"),
+        Case("two events at once", listOf("id: 1\n\nid: 2\n\n"), "id: 1\n\nid: 2\n\n", "2"),
+        Case("an event and a half", listOf("id: 1\n\nid: 2\nda"), "id: 1\n\n", "1", whole = false),
+        Case("carriage returns", listOf("id: 7\r\ndata: a\r\n\r\n"), "id: 7\r\ndata: a\r\n\r\n", "7"),
+        Case("an id that isn't first", listOf("version: 3\nid: 4\n\n"), "version: 3\nid: 4\n\n", "4"),
+        Case("no id", listOf("data: a\n\n"), "data: a\n\n", null),
+        Case("what the caller has", listOf("id: 4\n\nid: 5\n\nid: 6\n\n"), "id: 6\n\n", "6", resumedAfter = "5"),
+        Case("a repeated one in the middle", listOf("id: 1\n\nid: 1\n\nid: 2\n\n"), "id: 1\n\nid: 2\n\n", "2"),
+    ).map { case ->
+        dynamicTest(case.name) {
+            val scanner = EventScanner(case.resumedAfter)
+            val passedOn = case.arrived.joinToString("") { part ->
+                val bytes = Unpooled.copiedBuffer(part, Charsets.US_ASCII)
+                val events = scanner.take(bytes, ByteBufAllocator.DEFAULT)
+                events.toString(Charsets.US_ASCII).also { events.release() }
+            }
+            expectThat(passedOn).isEqualTo(case.passedOn)
+            expectThat(scanner.lastId).isEqualTo(case.lastId)
+            expectThat(scanner.isAtBoundary).isEqualTo(case.whole)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/Loopback.kt
@@ -0,0 +1,125 @@
+/*
+ * A stand-in for an upstream and a plain caller, over loopback sockets, for the tests of the gateway.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.model.HostPort
+import java.io.BufferedInputStream
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.io.InputStream
+import java.io.OutputStream
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+internal const val LIMIT_SECONDS = 20L
+
+/** A message as it came over a socket. */
+internal class RawMessage(
+    val start: String,
+    val headers: Map<String, String>,
+    val body: String,
+) {
+    operator fun get(name: String): String? = headers[name.lowercase()]
+}
+
+private fun readLine(input: InputStream): String? {
+    val line = ByteArrayOutputStream()
+    while (true) {
+        val byte = input.read()
+        if (byte < 0) return if (line.size() == 0) null else line.toString(Charsets.US_ASCII)
+        if (byte == '\n'.code) return line.toString(Charsets.US_ASCII).trimEnd('\r')
+        line.write(byte)
+    }
+}
+
+/** Reads a message; null at the end of the connection. */
+internal fun readMessage(input: InputStream): RawMessage? {
+    val start = readLine(input)?.takeIf { it.isNotEmpty() } ?: return null
+    val headers = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
+        .associate { it.substringBefore(':').trim().lowercase() to it.substringAfter(':').trim() }
+    return RawMessage(start, headers, readBody(input, headers))
+}
+
+private fun readBody(
+    input: InputStream,
+    headers: Map<String, String>,
+): String {
+    headers["content-length"]?.let { return input.readNBytes(it.toInt()).decodeToString() }
+    if (headers["transfer-encoding"] != "chunked") return ""
+    val body = ByteArrayOutputStream()
+    while (true) {
+        val size = readLine(input)?.toIntOrNull(16) ?: return "$body(broken off)"
+        body.write(input.readNBytes(size))
+        readLine(input)
+        if (size == 0) return body.toString(Charsets.UTF_8)
+    }
+}
+
+/** An upstream that answers each request by [answer]; a connection ends when the function returns false. */
+internal class FakeUpstream(
+    private val answer: (RawMessage, OutputStream, Socket) -> Boolean,
+) : AutoCloseable {
+    private val server = ServerSocket(0)
+    val address = HostPort("127.0.0.1", server.localPort)
+    val requests = LinkedBlockingQueue<RawMessage>()
+
+    /** Receives an entry when the other side has closed a connection on which an answer is still being written. */
+    val closedByPeer = LinkedBlockingQueue<String>()
+
+    init {
+        thread(isDaemon = true) { acceptAll() }
+    }
+
+    private fun acceptAll() {
+        try {
+            while (true) server.accept().let { socket -> thread(isDaemon = true) { serve(socket) } }
+        } catch (_: IOException) {
+            // The server socket was closed at the end of the test.
+        }
+    }
+
+    private fun serve(socket: Socket) = socket.use {
+        val input = BufferedInputStream(it.getInputStream())
+        try {
+            while (true) {
+                val request = readMessage(input) ?: return@use
+                requests += request
+                if (!answer(request, it.getOutputStream(), it)) return@use
+            }
+        } catch (_: IOException) {
+            closedByPeer += "closed"
+        }
+    }
+
+    override fun close() = server.close()
+}
+
+/** Sends one request on a connection of its own. */
+internal class FakeCaller(
+    address: HostPort,
+) : AutoCloseable {
+    val socket = Socket(address.host, address.port)
+    private val input = BufferedInputStream(socket.getInputStream())
+
+    init {
+        socket.soTimeout = TimeUnit.SECONDS.toMillis(LIMIT_SECONDS).toInt()
+    }
+
+    fun send(text: String) {
+        socket.getOutputStream().write(text.replace("\n", "\r\n").encodeToByteArray())
+        socket.getOutputStream().flush()
+    }
+
+    fun answer(): RawMessage? = readMessage(input)
+
+    override fun close() = socket.close()
+}
+
+internal fun OutputStream.send(text: String) {
+    write(text.replace("\n", "\r\n").encodeToByteArray())
+    flush()
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/OwnAnswerTest.kt
@@ -0,0 +1,31 @@
+/*
+ * Failures and the answers that callers get: a status that promises that nothing ran is given only where that is known.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Execution
+import io.carawaytrack.model.Failure
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+
+class OwnAnswerTest {
+    @TestFactory
+    fun `no kind promises that a request which may have run has not`(): List<DynamicTest> =
+        ErrorKind.entries.flatMap { kind -> listOf(Execution.MayHaveRun, Execution.Ran).map { kind to it } }.map { (kind, ran) ->
+            dynamicTest("$kind $ran") {
+                expectThat(answerTo(Failure(kind, ran)).status in setOf(408, 421, 429, 503)).isFalse()
+            }
+        }
+
+    @TestFactory
+    fun `a kind has its status where nothing ran`(): List<DynamicTest> = ErrorKind.entries.map { kind ->
+        dynamicTest("$kind") {
+            expectThat(answerTo(Failure(kind, Execution.NotRun)).status).isEqualTo(kind.status)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/PlacementTest.kt
@@ -0,0 +1,101 @@
+/*
+ * Candidates, a request's demand, and where it goes.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.model.UpstreamId
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import kotlin.random.Random
+
+class PlacementTest {
+    private fun engine(
+        id: String,
+        load: Int = 0,
+        sameZone: Boolean = true,
+        held: Set<String> = emptySet(),
+        failureShare: Double = 0.0,
+        silentMillis: Long = 0,
+    ) = Candidate(UpstreamId(id), sameZone, load, slots = 64, engine = true, held, failureShare, silentMillis)
+
+    private fun service(
+        id: String,
+        load: Int = 0,
+        sameZone: Boolean = true,
+    ) = Candidate(UpstreamId(id), sameZone, load, slots = 6, engine = false)
+
+    private val short = PromptDemand(100, 100, listOf(PromptPart("own", 100)))
+    private val long = PromptDemand(5_100, 100, listOf(PromptPart("subject", 5_000), PromptPart("own", 100)))
+
+    private class Case(
+        val name: String,
+        val candidates: List<Candidate>,
+        val demand: PromptDemand,
+        val chosen: String?,
+    )
+
+    @TestFactory
+    fun `a request goes where it costs least`(): List<DynamicTest> = listOf(
+        Case("nowhere without candidates", emptyList(), short, null),
+        Case("to the less loaded engine", listOf(engine("a", load = 30), engine("b", load = 5)), short, "b"),
+        Case("to its own zone at like loads", listOf(engine("a", load = 1, sameZone = false), engine("b", 2)), short, "b"),
+        Case(
+            "to another zone when its own is crowded",
+            listOf(engine("a", load = 2, sameZone = false), engine("b", load = 60)),
+            short,
+            "a",
+        ),
+        Case(
+            "to the engine that holds its long prompt",
+            listOf(engine("a"), engine("b", load = 10, sameZone = false, held = setOf("subject")), engine("c")),
+            long,
+            "b",
+        ),
+        Case("away from one that fails", listOf(engine("a", failureShare = 0.4), engine("b", load = 30)), short, "b"),
+        Case("away from one that fell silent", listOf(engine("a", silentMillis = 5_000), engine("b", 30)), short, "b"),
+        Case("to the service with a free slot", listOf(service("a", load = 6), service("b", 2, false)), short, "b"),
+    ).map { case ->
+        dynamicTest(case.name) {
+            expectThat(place(case.candidates, case.demand)?.id?.value).isEqualTo(case.chosen)
+        }
+    }
+
+    @Test
+    fun `hosts that know nothing of each other send a subject to the same engine`() {
+        val engines = List(9) { engine("e$it") }
+        repeat(50) { subject ->
+            val demand = PromptDemand(5_100, 10, listOf(PromptPart("s$subject", 5_000), PromptPart("own", 100)))
+            val places = List(8) { host -> place(engines.shuffled(Random(host)), demand)?.id }.toSet()
+            expectThat(places.size).isEqualTo(1)
+        }
+    }
+
+    /** Plays 3 s of 40 requests a second on nine engines and counts the prompt tokens that are read. */
+    private fun tokensRead(choose: (List<Candidate>, PromptDemand) -> Candidate?): Int {
+        val random = Random(7)
+        val held = List(9) { HashSet<String>() }
+        var read = 0
+        repeat(120) {
+            val subject = "s${random.nextInt(40)}"
+            val demand = PromptDemand(5_100, 10, listOf(PromptPart(subject, 5_000), PromptPart("own$it", 100)))
+            val engines = List(9) { index -> engine("e$index", load = random.nextInt(10), held = emptySet()) }
+            val index = choose(engines, demand)!!.id.value.drop(1).toInt()
+            read += if (held[index].add(subject)) 5_100 else 100
+        }
+        return read
+    }
+
+    @Test
+    fun `shared prompts are read less often than with the least loaded engine`() {
+        val byCost = tokensRead(::place)
+        val byLoad = tokensRead { candidates, _ -> candidates.minByOrNull { it.load } }
+        expectThat(byCost).isLessThan(byLoad / 2)
+        expectThat(byLoad).isGreaterThan(0)
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/WaitingLineTest.kt
@@ -0,0 +1,62 @@
+/*
+ * Requests that wait, and the order in which they go on.
+ */
+package io.carawaytrack.gateway
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+
+class WaitingLineTest {
+    private var nowMillis = 1_000L
+
+    private data class Request(
+        val name: String,
+        override val rank: Int = 1,
+        override val arrivedAtMillis: Long = 0,
+        override val onTimeUntilMillis: Long = 10_000,
+        override val patienceMillis: Long = 5_000,
+    ) : Waiter
+
+    @TestFactory
+    fun `waiting requests are offered in order`(): List<DynamicTest> = listOf(
+        "by arrival" to listOf(Request("b", arrivedAtMillis = 2), Request("a", arrivedAtMillis = 1)),
+        "urgent ones first" to listOf(Request("b", rank = 2), Request("a", rank = 0, arrivedAtMillis = 9)),
+        "late ones last" to listOf(Request("b", onTimeUntilMillis = 500), Request("a", arrivedAtMillis = 9)),
+    ).map { (name, requests) ->
+        dynamicTest(name) {
+            val line = WaitingLine<Request> { nowMillis }
+            requests.forEach { line.add(it) }
+            val offered = ArrayList<String>()
+            line.offer { offered.add(it.name) }
+            expectThat(offered).containsExactly("a", "b")
+        }
+    }
+
+    @Test
+    fun `requests that aren't taken stay, and one that joins meanwhile is kept`() {
+        val line = WaitingLine<Request> { nowMillis }
+        line.add(Request("a"))
+        line.add(Request("b", arrivedAtMillis = 1))
+        line.offer { request ->
+            if (request.name == "a") line.add(Request("c", arrivedAtMillis = 2))
+            request.name == "a"
+        }
+        val left = ArrayList<String>()
+        line.offer { left.add(it.name) }
+        expectThat(left).containsExactly("b", "c")
+    }
+
+    @Test
+    fun `a request leaves when its patience is over`() {
+        val line = WaitingLine<Request> { nowMillis }
+        line.add(Request("short", patienceMillis = 500))
+        line.add(Request("long"))
+        expectThat(line.expired().map { it.name }).containsExactly("short")
+        expectThat(line.size).isEqualTo(1)
+    }
+}
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -72,16 +72,17 @@
 private const val MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
 /** Timing of the log: the interval keeps idle hosts cheap, the timeout stays well under the time to apply a change. */
-private val replicaSettings = ReplicaSettings(
-    electionTimeoutMillis = 1_000,
-    heartbeatMillis = 200,
-    snapshotEveryEntries = 500,
-    snapshotEveryBytes = 4L * 1024 * 1024,
-    keptEntries = 100,
-    keptBytes = 1024L * 1024,
-    maxCommandBytes = MAX_COMMAND_BYTES,
-    maxQueued = 2_048,
-)
+private val replicaSettings =
+    ReplicaSettings(
+        electionTimeoutMillis = 1_000,
+        heartbeatMillis = 200,
+        snapshotEveryEntries = 500,
+        snapshotEveryBytes = 4L * 1024 * 1024,
+        keptEntries = 100,
+        keptBytes = 1024L * 1024,
+        maxCommandBytes = MAX_COMMAND_BYTES,
+        maxQueued = 2_048,
+    )
 
 /**
  * Sets up this host's copy.
@@ -144,11 +145,13 @@
         command: ByteArray,
         done: (Result<ByteArray, Failure>) -> Unit,
     ) = call(done) { open ->
-        val voters = open.status().members.count { it.voter }
-        if (open.status().leading && voters < setup.requiredVoters) {
-            Err(ErrorKind.ControlUnavailable.notRun("expected ${setup.requiredVoters} members, found $voters"))
-        } else {
-            open.propose(command)
+        val status = open.status()
+        val voters = status.members.count { it.voter }
+        // Checked whoever leads by this status: leadership may be won between the check and the append.
+        when {
+            voters >= setup.requiredVoters -> open.propose(command)
+            status.leading -> Err(ErrorKind.ControlUnavailable.notRun("expected ${setup.requiredVoters} members, found $voters"))
+            else -> Err(ErrorKind.NotLeader.notRun("this host does not lead, or not yet"))
         }
     }
 
@@ -183,7 +186,7 @@
         return MeshMessage.Join(status.node, fresh = !status.holdsLog())
     }
 
-    /** Takes in that the group has removed the replica [node]: one that holds a log starts anew with an empty folder. */
+    /** Takes in that the group has removed [node]: a replica that holds a log starts anew with an empty folder. */
     fun removed(node: NodeId) {
         val open = replica ?: return
         val status = open.status()
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -14,14 +14,12 @@
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.fleet.KnownUpstream
-import io.carawaytrack.fleet.RegistryNews
 import io.carawaytrack.fleet.RolloutTally
 import io.carawaytrack.fleet.UpstreamRegistry
 import io.carawaytrack.fleet.encode
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HostPort
-import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.notRun
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.Channel
@@ -40,15 +38,6 @@
 /** Interval of dialling, joining and maintenance, in milliseconds. */
 private const val TICK_MILLIS = 200L
 
-/** Longest time for which refreshed announcements wait to be passed on together, in milliseconds. */
-private const val REFRESH_BATCH_MILLIS = 400L
-
-/** Pause between two attempts to reach the same host, in milliseconds. */
-private const val REDIAL_MILLIS = 500L
-
-/** Time without a link after which a host that is no seed is given up, in milliseconds: longer than any cut. */
-private const val GIVEN_UP_MILLIS = 60_000L
-
 /** Pause before an unanswered request for a view is repeated, in milliseconds. */
 private const val VIEW_REPEAT_MILLIS = 300L
 
@@ -145,19 +134,18 @@
 ) : Mesh {
     private val self = settings.self
     private val loop = group.next()
-    private val links = Links(group, LinkEvents(::opened, ::received, ::closed, ::dialFailed), nowMillis)
+    private val links = Links(group, LinkEvents(::opened, ::received, ::closed, { logger.debug { "$it can't be reached" } }), nowMillis)
     private val open = LinkedHashSet<MeshLink>()
     private val peers = Peers(self, settings.seeds, nowMillis)
-    private val refreshed = LinkedHashMap<String, KnownUpstream>()
     private val tallies = HashMap<HostPort, List<RolloutTally>>()
     private val startedAtMillis = nowMillis()
     private var listening: Channel? = null
     private var viewAskedAtMillis = 0L
     private var lastPulseMillis = 0L
-    private var lastRefreshMillis = 0L
     private var core: CoreMember? = null
 
     override val upstreams: UpstreamRegistry = UpstreamRegistry(nowMillis)
+    private val spread = UpstreamSpread(self.core, upstreams, ::peerLinks, ::coreLinks, events, nowMillis)
 
     override var view: FleetView = FleetView()
         private set
@@ -197,38 +185,9 @@
         onLoop = { loop.execute(it) },
     )
 
-    override fun announce(upstream: FleetUpstream) {
-        when (upstreams.hear(upstream)) {
-            RegistryNews.Nothing -> return
-            RegistryNews.Refreshed -> note(upstream)
-            RegistryNews.Changed -> {
-                spread(MeshMessage.Upstreams(listOf(RelayedUpstream(upstream, 0)), relay = !self.core), CHANGE_COPIES)
-                tellChanged(upstream)
-            }
-        }
-    }
+    override fun announce(upstream: FleetUpstream) = spread.announce(upstream)
 
-    private fun note(upstream: FleetUpstream) {
-        refreshed[upstream.id.value] = KnownUpstream(upstream, nowMillis())
-    }
-
-    override fun depart(departure: Departure) {
-        val known = upstreams.upstreams.firstOrNull { it.upstream.id == departure.id }
-        val exact = departure.copy(startedAtMillis = departure.startedAtMillis ?: known?.upstream?.startedAtMillis)
-        if (!upstreams.leave(exact)) return
-        spread(MeshMessage.Upstreams(emptyList(), listOf(exact), relay = !self.core), CHANGE_COPIES)
-        events.upstreamGone(exact)
-    }
-
-    /** Sends to all peers from a host with a disk, and through [copies] of them from another host. */
-    private fun spread(
-        message: MeshMessage.Upstreams,
-        copies: Int,
-    ) {
-        val encoded = message.encode()
-        val targets = if (self.core) peerLinks() else coreLinks().take(copies)
-        targets.forEach { it.send(encoded) }
-    }
+    override fun depart(departure: Departure) = spread.depart(departure)
 
     override fun propose(
         command: FleetCommand,
@@ -255,8 +214,10 @@
         if (!leading) leader?.let(::linkTo)?.send(MeshMessage.Tallies(tallies))
     }
 
-    override fun tallyOf(order: Long): RolloutTally =
-        tallies.values.flatten().filter { it.order == order }.fold(RolloutTally(order), RolloutTally::plus)
+    override fun tallyOf(order: Long): RolloutTally = tallies.values
+        .flatten()
+        .filter { it.order == order }
+        .fold(RolloutTally(order), RolloutTally::plus)
 
     override fun reseed(seeds: List<HostPort>) = peers.reseed(seeds)
 
@@ -264,9 +225,8 @@
         val now = nowMillis()
         open.filter { now - it.heardAtMillis > LINK_SILENCE_MILLIS }.forEach(::closeSilent)
         if (now - lastPulseMillis >= PULSE_MILLIS) pulse()
-        if (now - lastRefreshMillis >= REFRESH_BATCH_MILLIS) passRefreshedOn()
+        spread.tick()
         peers.due(coreLinks().mapNotNull { it.peer?.address }.toSet()).forEach(links::dial)
-        upstreams.forgetSilent().forEach { events.upstreamGone(Departure(it.upstream.id, it.upstream.startedAtMillis)) }
         core?.let(::tend)
     }
 
@@ -298,14 +258,6 @@
         open.forEach { it.send(pulse) }
     }
 
-    private fun passRefreshedOn() {
-        lastRefreshMillis = nowMillis()
-        if (refreshed.isEmpty()) return
-        val relayed = refreshed.values.map { RelayedUpstream(it.upstream, nowMillis() - it.heardAtMillis) }
-        refreshed.clear()
-        spread(MeshMessage.Upstreams(relayed, relay = !self.core), REFRESH_COPIES)
-    }
-
     private fun opened(link: MeshLink) {
         open += link
         link.send(MeshMessage.Hello(self, peers.cores()))
@@ -318,10 +270,6 @@
         }
     }
 
-    private fun dialFailed(address: HostPort) {
-        logger.debug { "event=dial_failed peer=$address" }
-    }
-
     private fun received(
         link: MeshLink,
         message: MeshMessage,
@@ -330,7 +278,7 @@
             is MeshMessage.Hello -> greeted(link, message)
             is MeshMessage.Pulse -> pulsed(link, message)
             is MeshMessage.Cores -> learn(message.cores)
-            is MeshMessage.Upstreams -> heardOf(link, message)
+            is MeshMessage.Upstreams -> spread.received(link, message)
             is MeshMessage.ViewRequest -> if (view.index > message.haveIndex) link.send(MeshMessage.View(view))
             is MeshMessage.View -> adopt(message.view)
             is MeshMessage.Replication -> core?.receive(message)
@@ -350,8 +298,7 @@
         peers.met(hello.self)
         if (!known) logger.info { "event=peer_linked peer=${hello.self.address} core=${hello.self.core}" }
         learn(hello.cores + hello.self)
-        val all = upstreams.upstreams.map { RelayedUpstream(it.upstream, nowMillis() - it.heardAtMillis) }
-        if (all.isNotEmpty()) link.send(MeshMessage.Upstreams(all))
+        spread.tellAll(link)
     }
 
     private fun learn(cores: List<PeerCard>) {
@@ -378,23 +325,6 @@
         if (self.core) pulse()
     }
 
-    private fun heardOf(
-        link: MeshLink,
-        message: MeshMessage.Upstreams,
-    ) {
-        message.upstreams.forEach { (upstream, ageMillis) ->
-            if (upstreams.hear(upstream, ageMillis) == RegistryNews.Changed) tellChanged(upstream)
-        }
-        message.departures.filter(upstreams::leave).forEach(events.upstreamGone)
-        if (!message.relay || !self.core) return
-        val onward = MeshMessage.Upstreams(message.upstreams, message.departures).encode()
-        peerLinks().filter { it.peer?.address != link.peer?.address }.forEach { it.send(onward) }
-    }
-
-    private fun tellChanged(upstream: FleetUpstream) {
-        upstreams.upstreams.firstOrNull { it.upstream.id == upstream.id }?.let(events.upstreamChanged)
-    }
-
     /** Returns the newest open link to the host at [address]. */
     private fun linkTo(address: HostPort): MeshLink? = open.lastOrNull { it.isOpen && it.peer?.address == address }
 
@@ -412,94 +342,6 @@
         core?.close()
     }
 
-    private companion object {
-        /** Hosts with a disk that pass a change on; a second one covers the loss of the first. */
-        const val CHANGE_COPIES = 2
-
-        /** Hosts with a disk that pass refreshed announcements on; they are repeated anyway. */
-        const val REFRESH_COPIES = 1
-    }
 }
 
 private fun Result<ByteArray, Failure>.toUnit(): Result<Unit, Failure> = map { }
-
-/** Which hosts with a disk are known and when each is to be dialled. */
-internal class Peers(
-    private val self: PeerCard,
-    private var seeds: List<HostPort>,
-    private val nowMillis: () -> Long,
-) {
-    private val cores = LinkedHashMap<HostPort, PeerCard>()
-    private val metAtMillis = HashMap<HostPort, Long>()
-    private val dialledAtMillis = HashMap<HostPort, Long>()
-    private val cards = HashMap<HostPort, PeerCard>()
-
-    init {
-        if (self.core) cores[self.address] = self
-        cards[self.address] = self
-    }
-
-    fun cores(): List<PeerCard> = cores.values.toList()
-
-    fun lowestCore(): HostPort? = cores.keys.minByOrNull { it.toString() }
-
-    fun reseed(newSeeds: List<HostPort>) {
-        seeds = newSeeds
-    }
-
-    fun met(card: PeerCard) {
-        metAtMillis[card.address] = nowMillis()
-        cards[card.address] = card
-    }
-
-    /** Adds hosts with a disk and returns those that were new. */
-    fun learn(told: List<PeerCard>): List<PeerCard> {
-        val news = told.filter { it.core && it.address !in cores }
-        news.forEach {
-            cores[it.address] = it
-            metAtMillis.putIfAbsent(it.address, nowMillis())
-        }
-        return news
-    }
-
-    /** Returns the hosts to dial now, given those that are linked. */
-    fun due(linkedCores: Set<HostPort>): List<HostPort> {
-        linkedCores.forEach { metAtMillis[it] = nowMillis() }
-        forgetLost(linkedCores)
-        val wanted = cores.keys + seeds.filter { linkedCores.isEmpty() || cards[it] == null || it in cores }
-        val due = (wanted - linkedCores - self.address).filter { isDue(it) }
-        due.forEach { dialledAtMillis[it] = nowMillis() }
-        return due
-    }
-
-    private fun isDue(address: HostPort) = nowMillis() - (dialledAtMillis[address] ?: Long.MIN_VALUE / 2) >= REDIAL_MILLIS
-
-    private fun forgetLost(linked: Set<HostPort>) {
-        val oldestMillis = nowMillis() - GIVEN_UP_MILLIS
-        cores.keys.removeIf { address ->
-            val lost = (metAtMillis[address] ?: 0) < oldestMillis
-            lost && address != self.address && address !in linked && address !in seeds
-        }
-    }
-
-    /**
-     * Returns the host that founds the group, or null while that isn't certain: the first seed with a disk, or, where
-     * no seed has one, the host that all seeds name as the lowest with a disk.
-     */
-    fun founder(links: Collection<MeshLink>): HostPort? {
-        val seedCards = seeds.map { cards[it] ?: return firstCoreBeforeUnknown() }
-        seedCards.firstOrNull { it.core }?.let { return it.address }
-        val named = seeds.map { seed -> nameOf(seed, links) ?: return null }.toSet()
-        return named.singleOrNull()
-    }
-
-    /** A seed that comes after a known one with a disk doesn't matter. */
-    private fun firstCoreBeforeUnknown(): HostPort? =
-        seeds.takeWhile { cards[it] != null }.firstNotNullOfOrNull { cards[it]?.takeIf(PeerCard::core) }?.address
-
-    private fun nameOf(
-        seed: HostPort,
-        links: Collection<MeshLink>,
-    ): HostPort? =
-        if (seed == self.address) lowestCore() else links.firstOrNull { it.peer?.address == seed }?.pulse?.lowestCore
-}
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
@@ -131,10 +131,11 @@
     ) : MeshMessage
 }
 
-private val meshCbor = Cbor {
-    ignoreUnknownKeys = true
-    alwaysUseByteString = true
-}
+private val meshCbor =
+    Cbor {
+        ignoreUnknownKeys = true
+        alwaysUseByteString = true
+    }
 
 internal fun MeshMessage.encode(): ByteArray = meshCbor.encodeToByteArray(this)
 
--- /dev/null
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/MeshFormationTest.kt
@@ -0,0 +1,170 @@
+/*
+ * Hosts over loopback links with folders of their own: they form a group, agree, and repair themselves.
+ */
+package io.carawaytrack.mesh
+
+import com.github.michaelbull.result.Result
+import io.carawaytrack.fleet.Departure
+import io.carawaytrack.fleet.FleetCommand
+import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.fleet.FleetView
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.PoolName
+import io.carawaytrack.model.UpstreamId
+import io.carawaytrack.model.ZoneName
+import io.netty.channel.nio.NioEventLoopGroup
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+
+private const val LIMIT_SECONDS = 60L
+
+class MeshFormationTest {
+    @TempDir
+    private lateinit var folder: Path
+
+    private val hosts = ArrayList<Host>()
+
+    /** One host, with what it has heard in the order in which it did. */
+    private inner class Host(
+        val address: HostPort,
+        seeds: List<HostPort>,
+        data: Path?,
+        bootstrap: Boolean,
+    ) {
+        val group = NioEventLoopGroup(1)
+        val views = LinkedBlockingQueue<FleetView>()
+        val upstreams = LinkedBlockingQueue<String>()
+        val mesh = Mesh(
+            MeshSettings(PeerCard(address, ZoneName("a"), data != null), seeds, data, bootstrap, requiredVoters = 3),
+            group,
+            MeshEvents(
+                viewChanged = { views += it },
+                upstreamChanged = { upstreams += it.upstream.id.value },
+                upstreamGone = { upstreams += "gone ${it.id}" },
+            ),
+        ) { System.nanoTime() / 1_000_000 }
+
+        fun propose(command: FleetCommand): Result<Unit, Failure> {
+            val done = CompletableFuture<Result<Unit, Failure>>()
+            group.next().execute { mesh.propose(command) { done.complete(it) } }
+            return done.get(LIMIT_SECONDS, TimeUnit.SECONDS)
+        }
+
+        fun awaitVersion(version: Long) {
+            while (true) {
+                val view = checkNotNull(views.poll(LIMIT_SECONDS, TimeUnit.SECONDS)) {
+                    "expected version $version at $address, heard nothing more for $LIMIT_SECONDS s"
+                }
+                if (view.version == version) return
+            }
+        }
+
+        fun stop() {
+            group.next().submit { mesh.close() }.get(LIMIT_SECONDS, TimeUnit.SECONDS)
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS).get(LIMIT_SECONDS, TimeUnit.SECONDS)
+        }
+    }
+
+    private fun start(
+        address: HostPort,
+        seeds: List<HostPort>,
+        data: Path?,
+        bootstrap: Boolean = true,
+    ) = Host(address, seeds, data, bootstrap).also { hosts += it }
+
+    private fun addresses(count: Int): List<HostPort> {
+        val sockets = List(count) { ServerSocket(0) }
+        return sockets.map { HostPort("127.0.0.1", it.localPort) }.also { sockets.forEach(ServerSocket::close) }
+    }
+
+    private fun data(name: String) = Files.createDirectories(folder.resolve(name))
+
+    /** Proposes at each host in turn until the leader has accepted. */
+    private fun commit(command: FleetCommand) {
+        val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS)
+        while (System.nanoTime() < endNanos) if (hosts.any { it.propose(command).isOk }) return
+        error("expected a host to accept $command within $LIMIT_SECONDS s")
+    }
+
+    private fun replace(version: Long) = FleetCommand.Replace(version, ByteArray(version.toInt()))
+
+    @AfterEach
+    fun stopAll() = hosts.forEach { it.stop() }
+
+    @Test
+    fun `hosts that know three seeds form one group, and every host hears of a change`() {
+        val all = addresses(5)
+        all.forEachIndexed { index, address -> start(address, all.take(3), if (index < 4) data("d$index") else null) }
+        commit(replace(7))
+        hosts.forEach { it.awaitVersion(7) }
+    }
+
+    @Test
+    fun `where no seed has a disk the hosts with one form the group`() {
+        val all = addresses(6)
+        all.forEachIndexed { index, address -> start(address, all.take(3), if (index < 3) null else data("d$index")) }
+        commit(replace(7))
+        hosts.forEach { it.awaitVersion(7) }
+    }
+
+    @Test
+    fun `a host that lost its disk joins again and the change outlives another host`() {
+        val all = addresses(3)
+        all.forEachIndexed { index, address -> start(address, all, data("d$index")) }
+        commit(replace(7))
+        hosts.forEach { it.awaitVersion(7) }
+        hosts.removeAt(0).stop()
+        val wiped = start(all[0], all, data("again"), bootstrap = false)
+        wiped.awaitVersion(7)
+        commit(replace(8))
+        wiped.awaitVersion(8)
+    }
+
+    @Test
+    fun `an announcement at any host reaches every host, and so does the sign-off`() {
+        val all = addresses(4)
+        all.forEachIndexed { index, address -> start(address, all.take(3), if (index < 3) data("d$index") else null) }
+        commit(replace(7))
+        hosts.forEach { it.awaitVersion(7) }
+        val upstream = FleetUpstream(
+            id = UpstreamId("u"),
+            pool = PoolName("p"),
+            address = HostPort("127.0.0.1", 9),
+            zone = ZoneName("a"),
+            version = "v1",
+            slots = 1,
+            leaving = false,
+            coldMillis = 0,
+            sequence = 1,
+            startedAtMillis = 1,
+        )
+        val outermost = hosts.last()
+        outermost.group.next().execute { outermost.mesh.announce(upstream) }
+        hosts.forEach { expectThat(it.upstreams.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("u") }
+        outermost.group.next().execute { outermost.mesh.depart(Departure(upstream.id, null)) }
+        hosts.forEach { expectThat(it.upstreams.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("gone u") }
+    }
+
+    @Test
+    fun `a host without a disk refuses a change and names the leader`() {
+        val all = addresses(4)
+        all.forEachIndexed { index, address -> start(address, all.take(3), if (index < 3) data("d$index") else null) }
+        commit(replace(7))
+        hosts.forEach { it.awaitVersion(7) }
+        val outermost = hosts.last()
+        expectThat(outermost.propose(replace(8)).isOk).isEqualTo(false)
+        val leader = outermost.group.next().submit<String> { outermost.mesh.leader.toString() }
+        expectThat(leader.get(LIMIT_SECONDS, TimeUnit.SECONDS) in all.take(3).map { it.toString() }).isTrue()
+    }
+}
