Serve at once after a restart, and never end a stream with another's failure

Ruled out: taking the configuration from the log before the election (its last entries need not be committed).

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerRelay.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerRelay.kt
@@ -46,7 +46,7 @@
         bytes: ByteBuf,
     ): Boolean {
         if (isStream(head)) return takeEvents(head, bytes)
-        if (begun) caller.write(bytes) else hold(head, bytes)
+        if (!begun || request.route.streaming) hold(head, bytes) else caller.write(bytes)
         return true
     }
 
@@ -71,7 +71,8 @@
     ) {
         val sum = held ?: Unpooled.compositeBuffer(MAX_HELD_PARTS).also { held = it }
         sum.addComponent(true, bytes)
-        if (sum.readableBytes() <= HELD_ANSWER_BYTES || head.refusal(vocabulary) != null) return
+        val mustWait = begun || head.refusal(vocabulary) != null
+        if (sum.readableBytes() <= HELD_ANSWER_BYTES || mustWait) return
         held = null
         begin(head)
         caller.write(sum)
@@ -89,7 +90,9 @@
     /** Returns whether the answer under [head], whose body has ended, is one that may go to the caller. */
     fun isWhole(head: HttpResponse): Boolean = when {
         isStream(head) -> scanner?.isAtBoundary != false && (begun || head.isSealed(vocabulary))
-        else -> begun || !head.isSuccess() || head.isSealed(vocabulary)
+        // A failure of the upstream that was to go on with a stream is no part of the stream.
+        begun -> !request.route.streaming
+        else -> !head.isSuccess() || head.isSealed(vocabulary)
     }
 
     /** Sends what is left of a whole answer. */
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
@@ -302,6 +302,15 @@
             .isEqualTo("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n")
     }
 
+    @Test
+    fun `a failure by the upstream that is to go on with a stream isn't the stream's end`() {
+        serve(
+            { _, out, _ -> false.also { out.send(streamHead()).also { _ -> out.raw(event(1)) } } },
+            { _, out, _ -> true.also { out.send(whole("500 Internal Server Error", "sorry")) } },
+        )
+        expectThat(ask(request("/draft/x"))?.body.orEmpty()).isEqualTo("id: 1\ndata: 1\n\n(broken off)")
+    }
+
     @Test
     fun `a stream that may not be resumed ends broken off`() {
         serve(
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -135,6 +135,9 @@
         storage.execute { withDisk { initialiseAndOpen(it, founding) } }
     }
 
+    /** Runs [work] where files may be waited for. */
+    fun onStorageThread(work: () -> Unit) = storage.execute(work)
+
     fun receive(message: MeshMessage.Replication) {
         val open = replica ?: return
         if (open.status().node == message.to) open.receive(message.from, message.payload)
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -142,6 +142,7 @@
     private var listening: Channel? = null
     private var viewAskedAtMillis = 0L
     private var lastPulseMillis = 0L
+    private var keptRecent: Any? = null
     private var core: CoreMember? = null
 
     override val upstreams: UpstreamRegistry = UpstreamRegistry(nowMillis)
@@ -168,10 +169,29 @@
 
     fun start() {
         listening = links.listen(self.address)
+        settings.folder?.let(::readRecent)?.let { recent -> loop.execute { recall(recent) } }
         core = settings.folder?.let { CoreMember(setup(it)) }?.also { it.open() }
         loop.scheduleAtFixedRate(::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    /** Takes up what was known before a restart. */
+    private fun recall(recent: Recent) {
+        adopt(recent.view)
+        recent.upstreams.forEach { spread.recall(it) }
+        logger.info { "event=recent_state_recalled index=${recent.view.index} upstreams=${recent.upstreams.size}" }
+    }
+
+    /** Keeps what is known for the next start, if it has changed. */
+    private fun keepRecent() {
+        val folder = settings.folder ?: return
+        val known = upstreams.upstreams.map { it.upstream }
+        val mark = view.index to known.map { it.id to it.startedAtMillis }
+        if (view.index == 0L || mark == keptRecent) return
+        keptRecent = mark
+        val recent = Recent(view, known)
+        core?.onStorageThread { saveRecent(folder, recent) }
+    }
+
     private fun setup(folder: Path) = CoreSetup(
         folder = folder,
         address = self.address,
@@ -228,6 +248,7 @@
         spread.tick()
         peers.due(coreLinks().mapNotNull { it.peer?.address }.toSet()).forEach(links::dial)
         core?.let(::tend)
+        keepRecent()
     }
 
     private fun closeSilent(link: MeshLink) {
--- /dev/null
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/RecentState.kt
@@ -0,0 +1,84 @@
+/*
+ * What this host knew last, kept beside the log so that it can serve again at once after a restart, before the core has
+ * elected a leader. It was committed and announced when it was written; what has changed since arrives from the peers.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package io.carawaytrack.mesh
+
+import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.fleet.FleetView
+import io.carawaytrack.storage.checksum
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import java.io.IOException
+import java.nio.ByteBuffer
+import java.nio.channels.FileChannel
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardCopyOption
+import java.nio.file.StandardOpenOption
+
+private val logger = KotlinLogging.logger {}
+
+private const val RECENT_FILE = "recent"
+private const val TEMPORARY_FILE = "recent.tmp"
+
+/** Time for which an upstream that was known before a restart counts as cold, in milliseconds: a usual cold start. */
+private const val DOUBTED_MILLIS = 3_000L
+
+/** Time since such an upstream was heard, as far as its age is shown, in milliseconds: about a restart's duration. */
+internal const val RECENT_AGE_MILLIS: Long = 2_000
+
+@Serializable
+internal class Recent(
+    val view: FleetView,
+    val upstreams: List<FleetUpstream>,
+)
+
+
+private val recentCbor = Cbor { ignoreUnknownKeys = true }
+
+/** Writes [recent] to [folder]; a failure costs only the quick start, so it is logged and nothing else. */
+internal fun saveRecent(
+    folder: Path,
+    recent: Recent,
+) {
+    val content = recentCbor.encodeToByteArray(recent)
+    val sealed = ByteBuffer.allocate(Long.SIZE_BYTES + content.size).putLong(checksum(content)).put(content).flip()
+    try {
+        val options = arrayOf(StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)
+        FileChannel.open(folder.resolve(TEMPORARY_FILE), setOf(*options)).use { file ->
+            while (sealed.hasRemaining()) file.write(sealed)
+            file.force(true)
+        }
+        Files.move(folder.resolve(TEMPORARY_FILE), folder.resolve(RECENT_FILE), StandardCopyOption.REPLACE_EXISTING)
+    } catch (failure: IOException) {
+        logger.warn { "event=recent_state_not_saved reason=\"$failure\"" }
+    }
+}
+
+/** Returns what [saveRecent] wrote, each upstream as one that may be cold, or null when there is nothing whole. */
+internal fun readRecent(folder: Path): Recent? = try {
+    decode(Files.readAllBytes(folder.resolve(RECENT_FILE)))
+} catch (missing: IOException) {
+    logger.debug { "no recent state: $missing" }
+    null
+}
+
+private fun decode(bytes: ByteArray): Recent? {
+    val contentBytes = bytes.size - Long.SIZE_BYTES
+    val whole = contentBytes > 0 && ByteBuffer.wrap(bytes).getLong() == checksum(bytes, Long.SIZE_BYTES, contentBytes)
+    if (!whole) return null
+    return try {
+        val recent = recentCbor.decodeFromByteArray<Recent>(bytes.copyOfRange(Long.SIZE_BYTES, bytes.size))
+        Recent(recent.view, recent.upstreams.map { it.copy(coldMillis = maxOf(it.coldMillis, DOUBTED_MILLIS)) })
+    } catch (otherVersion: IllegalArgumentException) {
+        logger.warn { "event=recent_state_unreadable reason=\"$otherVersion\"" }
+        null
+    }
+}
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamSpread.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamSpread.kt
@@ -42,6 +42,13 @@
         }
     }
 
+    /** Takes up an upstream that was known before a restart of this host. */
+    fun recall(upstream: FleetUpstream) {
+        // One with the same sequence number may be announced any moment and then is news.
+        val before = upstream.copy(sequence = upstream.sequence - 1)
+        if (upstreams.hear(before, RECENT_AGE_MILLIS) == RegistryNews.Changed) tellChanged(before)
+    }
+
     fun depart(departure: Departure) {
         val known = upstreams.upstreams.firstOrNull { it.upstream.id == departure.id }
         val exact = departure.copy(startedAtMillis = departure.startedAtMillis ?: known?.upstream?.startedAtMillis)
