--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/CatalogTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/CatalogTest.kt
@@ -33,14 +33,15 @@
         sticky = false,
     )
 
-    private val catalog = Catalog(
-        version = 1,
-        routes = listOf(route("outer", "/a/"), route("inner", "/a/b/"), route("open", "/open/", public = true)),
-        pools = emptyMap(),
-        organisations = listOf(CatalogOrganisation(OrganisationName("stalls"), setOf("k1"), rank = null)),
-        keysRequired = true,
-        limits = CallerLimits(),
-    )
+    private val catalog =
+        Catalog(
+            version = 1,
+            routes = listOf(route("outer", "/a/"), route("inner", "/a/b/"), route("open", "/open/", public = true)),
+            pools = emptyMap(),
+            organisations = listOf(CatalogOrganisation(OrganisationName("stalls"), setOf("k1"), rank = null)),
+            keysRequired = true,
+            limits = CallerLimits(),
+        )
 
     @ParameterizedTest(name = "{0} {1} with key {2} matches {3}")
     @CsvSource(
@@ -61,11 +62,12 @@
         key: String?,
         expected: String,
     ) {
-        val found = when (val match = catalog.match(host, path, key)) {
-            Match.NoRoute -> "no route"
-            Match.UnknownKey -> "unknown key"
-            is Match.Found -> match.route.name
-        }
+        val found =
+            when (val match = catalog.match(host, path, key)) {
+                Match.NoRoute -> "no route"
+                Match.UnknownKey -> "unknown key"
+                is Match.Found -> match.route.name
+            }
         expectThat(found).isEqualTo(expected)
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatch.kt
@@ -0,0 +1,175 @@
+/*
+ * What becomes of the requests of one host: which model and which upstream each one gets, which wait, which are refused
+ * and when their callers may come back.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.fleet.CatalogPool
+import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.model.ErrorKind
+import io.carawaytrack.model.Execution
+import io.carawaytrack.model.Failure
+import io.carawaytrack.model.notRun
+
+/** When a caller that found every upstream taken may come back, in milliseconds: some requests have ended by then. */
+private const val BUSY_RETRY_MILLIS = 400L
+
+/** When a caller that this host refuses while it stops may come back to another one, in milliseconds: at once. */
+private const val SHUTDOWN_RETRY_MILLIS = 20L
+
+/** Tokens that an event usually holds; engines differ little. */
+private const val TOKENS_PER_EVENT = 7
+
+internal class Dispatch(
+    settings: GatewaySettings,
+    override val vocabulary: HeaderVocabulary,
+    private val upstreams: UpstreamDirectory,
+    private val rollouts: RolloutWatch,
+    private val connections: UpstreamConnections,
+    private val meters: GatewayMeters,
+    private val nowMillis: () -> Long,
+) : ExchangeHost {
+    private val budgets = RepeatBudgets(settings.retries, { upstreams.hosts }, nowMillis)
+    private val models = ModelPolicy()
+    private val log = RequestLog(nowMillis)
+    private val line = WaitingLine<Exchange>(nowMillis)
+    private val active = LinkedHashSet<Exchange>()
+
+    /** Version of the configuration in force, for the log. */
+    var configuration: Long? = null
+
+    val unfinished: Int get() = active.size
+    val waiting: Int get() = line.size
+
+    override fun nowMillis(): Long = nowMillis.invoke()
+
+    /** Begins to serve [request] from [pool]; a host that is [draining] takes no streams. */
+    fun begin(
+        request: CallerRequest,
+        pool: CatalogPool?,
+        caller: CallerConnection,
+        draining: Boolean,
+    ) {
+        val exchange = Exchange(request, pool, caller, this)
+        active += exchange
+        if (pool == null) return exchange.fail(ErrorKind.NoHealthyUpstream.notRun("the route has no pool"))
+        if (draining && request.route.streaming) {
+            return exchange.fail(ErrorKind.ShuttingDown.notRun(retryAfterMillis = SHUTDOWN_RETRY_MILLIS))
+        }
+        if (request.anyModel) exchange.modelIndex = models.first(request.route, pool)
+        budgets.requested(pool.name)
+        enqueue(exchange)
+    }
+
+    /** Looks at deadlines, silent upstreams and waiting requests. */
+    fun tick() {
+        active.toList().forEach { it.tick() }
+        line.expired().forEach { it.fail(busy(it)) }
+        offerWaiting()
+    }
+
+    /** Sends waiting requests for which there is room now. */
+    fun offerWaiting() = line.offer { it.phase != ExchangePhase.Waiting || place(it) }
+
+    override fun mayRepeat(exchange: Exchange): Boolean = exchange.pool?.let { budgets.tryRepeat(it.name) } == true
+
+    override fun enqueue(exchange: Exchange) {
+        if (place(exchange)) return
+        val pool = exchange.pool ?: return
+        val session = exchange.request.session
+        if (upstreams.hasNobodyFor(pool.name, session)) return exchange.fail(nobody(exchange))
+        line.add(exchange).forEach { it.fail(busy(it)) }
+    }
+
+    private fun nobody(exchange: Exchange) = when {
+        exchange.hasNotRun -> ErrorKind.NoHealthyUpstream.notRun(retryAfterMillis = NOBODY_RETRY_MILLIS)
+        else -> lost(exchange)
+    }
+
+    private fun busy(exchange: Exchange) = when {
+        exchange.hasNotRun -> ErrorKind.PoolExhausted.notRun(retryAfterMillis = BUSY_RETRY_MILLIS)
+        else -> lost(exchange)
+    }
+
+    private fun lost(exchange: Exchange) = Failure(
+        ErrorKind.UpstreamFailed,
+        Execution.MayHaveRun,
+        "no other upstream can go on with the request after ${exchange.tries} attempts",
+    )
+
+    /** Sends the exchange if an upstream can take it now. */
+    private fun place(exchange: Exchange): Boolean {
+        val pool = exchange.pool ?: return false
+        val request = exchange.request
+        val model = if (request.anyModel) request.route.models.getOrNull(exchange.modelIndex) else null
+        val need =
+            UpstreamNeed(
+                pool = pool,
+                session = request.session,
+                demand = request.demand,
+                model = model.orEmpty(),
+                avoided = exchange.avoided,
+                mayReturn = exchange.hasNotRun,
+            )
+        val target = upstreams.choose(need) ?: return false
+        exchange.sendTo(target, model)
+        return true
+    }
+
+    override fun send(
+        exchange: Exchange,
+        target: UpstreamState,
+        attempt: Attempt,
+    ) = connections.send(target.upstream.address, attempt, unrepeatable = !exchange.request.route.repeatable)
+
+    override fun observed(
+        exchange: Exchange,
+        upstream: FleetUpstream,
+        good: Boolean,
+        firstByteMillis: Long,
+    ) {
+        meters.attemptEnded(upstream, good)
+        val rollout = upstreams.rolloutOf(upstream.pool) ?: return
+        rollouts.observed(rollout, exchange.request.route.name, upstream.version, good, firstByteMillis)
+    }
+
+    override fun answeredBy(
+        exchange: Exchange,
+        confidence: Int?,
+    ) {
+        val request = exchange.request
+        if (confidence != null && request.anyModel) {
+            models.learn(request.route, exchange.modelIndex, request.demand, confidence)
+        }
+    }
+
+    override fun largerModel(
+        exchange: Exchange,
+        confidence: Int?,
+    ): Int? {
+        val request = exchange.request
+        if (confidence == null || !request.anyModel || exchange.runs >= request.route.maxAttempts) return null
+        val onTimeLeftMillis = exchange.onTimeUntilMillis - nowMillis()
+        val larger = models.larger(request.route, exchange.modelIndex, request.demand, confidence, onTimeLeftMillis)
+        return larger?.takeIf { exchange.pool?.let { pool -> budgets.tryEscalation(pool.name) } == true }
+    }
+
+    override fun noted(
+        exchange: Exchange,
+        event: String,
+        detail: Map<String, Any?>,
+    ) = log.write(event, exchange, configuration, detail)
+
+    override fun ended(end: ExchangeEnd) {
+        val exchange = end.exchange
+        active -= exchange
+        line.remove(exchange)
+        meters.requestEnded(end.summary(nowMillis()))
+        if (end.complete && exchange.events > 0) {
+            models.learnLength(exchange.request.route, exchange.events * TOKENS_PER_EVENT)
+        }
+        val ordinary = end.complete && exchange.tries == 1
+        if (!ordinary || log.isSampled(exchange.request.id)) noted(exchange, "request_ended", end.fields(nowMillis()))
+        offerWaiting()
+    }
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -37,18 +37,28 @@
 /** Says what an exchange waits for. */
 internal enum class ExchangePhase { Waiting, Sent, Over }
 
-/** Holds what is known of one exchange's end, for the log and the metrics. */
+/** Holds what is known of one exchange's end, for the log and the metrics; [failure] is null for an answer. */
 internal class ExchangeEnd(
     val exchange: Exchange,
-    val status: Int,
-    val complete: Boolean,
-    private val reason: String,
+    private val status: Int,
+    private val failure: ErrorKind?,
 ) {
+    val complete: Boolean get() = failure == null
+
+    fun summary(nowMillis: Long): EndedRequest = EndedRequest(
+        organisation = exchange.request.organisation?.name,
+        route = exchange.request.route.name,
+        failure = failure,
+        execution = if (exchange.hasNotRun) Execution.NotRun else Execution.MayHaveRun,
+        tookMillis = nowMillis - exchange.request.arrivedAtMillis,
+        firstByteMillis = exchange.firstByteMillis,
+    )
+
     /** Returns what the log says of the end at [nowMillis]. */
     fun fields(nowMillis: Long): Map<String, Any?> = mapOf(
         "status" to status,
-        "complete" to complete,
-        "reason" to reason,
+        "reason" to (failure?.name ?: "complete"),
+        "hasNotRun" to exchange.hasNotRun,
         "tookMillis" to nowMillis - exchange.request.arrivedAtMillis,
         "firstByteMillis" to exchange.firstByteMillis,
         "tries" to exchange.tries,
@@ -155,6 +165,8 @@
     /** Whether it is known that no upstream ran the request or ever will. */
     val hasNotRun: Boolean get() = !mayHaveRun
 
+    private val execution get() = if (hasNotRun) Execution.NotRun else Execution.MayHaveRun
+
     init {
         caller.listenWith(this)
     }
@@ -193,7 +205,7 @@
     private fun timeOut() {
         release(cancel = true)
         val kind = if (hasNotRun) ErrorKind.PoolExhausted else ErrorKind.UpstreamTimeout
-        fail(Failure(kind, execution(), "no answer within ${request.endsAtMillis - request.arrivedAtMillis} ms"))
+        fail(Failure(kind, execution, "no answer within ${request.endsAtMillis - request.arrivedAtMillis} ms"))
     }
 
     private fun isStalled(now: Long): Boolean {
@@ -265,8 +277,9 @@
 
     private fun finish(head: HttpResponse) {
         observe(good = !head.isFailure())
+        mayHaveRun = true
         letGo()
-        end(head.status().code(), complete = true, reason = "complete")
+        end(head.status().code(), failure = null)
         if (callerLeft) relay.forgetUnsent() else relay.finish(head)
     }
 
@@ -296,7 +309,7 @@
         when {
             callerLeft -> abandon()
             refusal == UpstreamRefusal.Rejected && tries >= MOST_REJECTIONS ->
-                fail(Failure(ErrorKind.NoHealthyUpstream, execution(), "upstreams reject the request"))
+                fail(Failure(ErrorKind.NoHealthyUpstream, execution, "upstreams reject the request"))
             else -> waitForUpstream()
         }
     }
@@ -318,7 +331,7 @@
         when {
             callerLeft -> abandon()
             neverSent || mayGoOn() -> waitForUpstream()
-            else -> fail(Failure(ErrorKind.UpstreamFailed, execution(), "the upstream broke off: $end"))
+            else -> fail(Failure(ErrorKind.UpstreamFailed, execution, "the upstream broke off: $end"))
         }
     }
 
@@ -347,9 +360,9 @@
 
     /** Returns whether the request may be sent to another upstream although one may have run it. */
     private fun mayGoOn(): Boolean {
-        val leftMillis = request.endsAtMillis - host.nowMillis()
-        if (!route.repeatable || callerLeft || leftMillis < LEAST_LEFT_MILLIS || !relay.canGoOn) return false
-        return runs < route.maxAttempts && host.mayRepeat(this)
+        val inTime = request.endsAtMillis - host.nowMillis() >= LEAST_LEFT_MILLIS
+        val allowed = route.repeatable && relay.canGoOn && runs < route.maxAttempts
+        return allowed && inTime && !callerLeft && host.mayRepeat(this)
     }
 
     private fun waitForUpstream() {
@@ -362,12 +375,10 @@
     fun fail(failure: Failure) {
         if (phase == ExchangePhase.Over) return
         val answer = answerTo(failure)
-        end(answer.status, complete = false, reason = failure.kind.name)
+        end(answer.status, failure.kind)
         if (callerLeft) answer.content.release() else relay.end(answer)
     }
 
-    private fun execution() = if (hasNotRun) Execution.NotRun else Execution.MayHaveRun
-
     override fun callerGone() {
         if (phase == ExchangePhase.Over) return
         callerLeft = true
@@ -377,7 +388,7 @@
 
     private fun abandon() {
         release(cancel = true)
-        end(CALLER_GONE_STATUS, complete = false, reason = ErrorKind.CallerGone.name)
+        end(ErrorKind.CallerGone.status, ErrorKind.CallerGone)
     }
 
     override fun callerWritable(writable: Boolean) {
@@ -386,17 +397,14 @@
 
     private fun end(
         status: Int,
-        complete: Boolean,
-        reason: String,
+        failure: ErrorKind?,
     ) {
         phase = ExchangePhase.Over
         request.body.release()
-        host.ended(ExchangeEnd(this, status, complete, reason))
+        host.ended(ExchangeEnd(this, status, failure))
     }
 
     private companion object {
-        const val CALLER_GONE_STATUS = 499
-
         /** Refusals of a request by its form after which it isn't tried elsewhere. */
         const val MOST_REJECTIONS = 3
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -19,8 +19,8 @@
 import io.carawaytrack.limits.RetrySettings
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Execution
-import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.OrganisationName
 import io.carawaytrack.model.PoolName
 import io.carawaytrack.model.ZoneName
 import io.carawaytrack.model.notRun
@@ -39,13 +39,7 @@
 private const val TICKS_PER_PRUNE = 10
 
 /** When a caller that found no upstream at all may come back, in milliseconds: a crashed one is back by then. */
-private const val NOBODY_RETRY_MILLIS = 800L
-
-/** When a caller that found every upstream taken may come back, in milliseconds: some requests have ended by then. */
-private const val BUSY_RETRY_MILLIS = 400L
-
-/** When a caller that this host refuses while it stops may come back to another one, in milliseconds: at once. */
-private const val SHUTDOWN_RETRY_MILLIS = 20L
+internal const val NOBODY_RETRY_MILLIS = 800L
 
 /**
  * Sets up a gateway.
@@ -59,11 +53,40 @@
     val rollouts: RolloutBounds = RolloutBounds(),
 )
 
+/**
+ * Describes a request that has ended.
+ *
+ * @property failure null for a complete answer of an upstream
+ * @property firstByteMillis time to the first byte of an answer; null where none came
+ */
+public data class EndedRequest(
+    val organisation: OrganisationName?,
+    val route: String,
+    val failure: ErrorKind?,
+    val execution: Execution,
+    val tookMillis: Long,
+    val firstByteMillis: Long?,
+)
+
+/**
+ * Takes what a gateway counts; all calls come on the event loop.
+ *
+ * @property requestEnded hears of each request that a route took
+ * @property attemptEnded hears of each attempt, and whether it was good
+ */
+public class GatewayMeters(
+    public val requestEnded: (EndedRequest) -> Unit = {},
+    public val attemptEnded: (FleetUpstream, Boolean) -> Unit = { _, _ -> },
+)
+
 /** Serves callers; to be used on its event loop only. */
 public interface Gateway : AutoCloseable {
     /** Requests that have not been answered to the end. */
     public val unfinished: Int
 
+    /** Requests among them that wait for an upstream with room. */
+    public val waiting: Int
+
     /** Puts [catalog] in force for requests that arrive from now on. */
     public fun apply(catalog: Catalog)
 
@@ -101,17 +124,18 @@
     vocabulary: HeaderVocabulary,
     group: EventLoopGroup,
     heard: () -> Collection<KnownUpstream>,
+    meters: GatewayMeters = GatewayMeters(),
     nowMillis: () -> Long,
-): Gateway = LoopGateway(settings, vocabulary, group, heard, nowMillis).also { it.start() }
+): Gateway = LoopGateway(settings, vocabulary, group, heard, meters, nowMillis).also { it.start() }
 
 private class LoopGateway(
     private val settings: GatewaySettings,
-    override val vocabulary: HeaderVocabulary,
+    private val vocabulary: HeaderVocabulary,
     private val group: EventLoopGroup,
     private val heard: () -> Collection<KnownUpstream>,
+    meters: GatewayMeters,
     private val nowMillis: () -> Long,
-) : Gateway,
-    ExchangeHost {
+) : Gateway {
     private val callers =
         CallerConnections(
             group,
@@ -121,40 +145,35 @@
     private val connections = UpstreamConnections(group, nowMillis)
     private val rollouts = RolloutWatch(settings.rollouts, nowMillis)
     private val upstreams = UpstreamDirectory(settings.zone, rollouts, connections, nowMillis)
-    private val budgets = RepeatBudgets(settings.retries, { upstreams.hosts }, nowMillis)
-    private val models = ModelPolicy()
-    private val log = RequestLog(nowMillis)
-    private val line = WaitingLine<Exchange>(nowMillis)
-    private val active = LinkedHashSet<Exchange>()
+    private val dispatch = Dispatch(settings, vocabulary, upstreams, rollouts, connections, meters, nowMillis)
     private var catalog: Catalog? = null
-    private var view = FleetView()
     private var draining = false
     private var ticks = 0L
     private var listening: Channel? = null
 
-    override val unfinished: Int get() = active.size
+    override val unfinished: Int get() = dispatch.unfinished
+
+    override val waiting: Int get() = dispatch.waiting
 
     fun start() {
         listening = callers.listen(settings.callers)
         group.next().scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    override fun nowMillis(): Long = nowMillis.invoke()
-
     override fun apply(catalog: Catalog) {
         this.catalog = catalog
+        dispatch.configuration = catalog.version
     }
 
     override fun apply(view: FleetView) {
-        this.view = view
         upstreams.apply(view) { pool -> catalog?.pools?.get(pool)?.coldStartMillis ?: 0 }
-        retryWaiting()
+        dispatch.offerWaiting()
     }
 
     override fun changed(known: KnownUpstream) {
         upstreams.changed(known)
         logEvent("upstream_changed", fieldsOf(known.upstream))
-        retryWaiting()
+        dispatch.offerWaiting()
     }
 
     override fun gone(departure: Departure) {
@@ -188,31 +207,22 @@
             return refuse(request, body, caller, ErrorKind.StaleConfiguration, NOBODY_RETRY_MILLIS)
         }
         val path = request.uri().substringBefore('?')
-        val host = request.headers()[HttpHeaderNames.HOST]?.substringBefore(':')?.lowercase().orEmpty()
+        val host =
+            request
+                .headers()[HttpHeaderNames.HOST]
+                ?.substringBefore(':')
+                ?.lowercase()
+                .orEmpty()
         when (val match = inForce.match(host, path, bearerKey(request.headers()))) {
             Match.NoRoute -> refuse(request, body, caller, ErrorKind.UnknownRoute)
             Match.UnknownKey -> refuse(request, body, caller, ErrorKind.UnknownKey)
-            is Match.Found -> begin(readRequest(request, body, match, vocabulary, nowMillis()), caller, inForce)
+            is Match.Found -> {
+                val read = readRequest(request, body, match, vocabulary, nowMillis())
+                dispatch.begin(read, poolOf(match.route, read.id, inForce), caller, draining)
+            }
         }
     }
 
-    private fun begin(
-        request: CallerRequest,
-        caller: CallerConnection,
-        inForce: Catalog,
-    ) {
-        val pool = poolOf(request.route, request.id, inForce)
-        val exchange = Exchange(request, pool, caller, this)
-        active += exchange
-        if (pool == null) return exchange.fail(ErrorKind.NoHealthyUpstream.notRun("the route has no pool"))
-        if (draining && request.route.streaming) {
-            return exchange.fail(ErrorKind.ShuttingDown.notRun(retryAfterMillis = SHUTDOWN_RETRY_MILLIS))
-        }
-        if (request.anyModel) exchange.modelIndex = models.first(request.route, pool)
-        budgets.requested(pool.name)
-        enqueue(exchange)
-    }
-
     /** Draws the pool by the weights; the same request gets the same one everywhere. */
     private fun poolOf(
         route: CatalogRoute,
@@ -225,105 +235,6 @@
         return share?.let { inForce.pools[it.pool] }
     }
 
-    override fun mayRepeat(exchange: Exchange): Boolean = exchange.pool?.let { budgets.tryRepeat(it.name) } == true
-
-    override fun enqueue(exchange: Exchange) {
-        if (place(exchange)) return
-        val pool = exchange.pool ?: return
-        val session = exchange.request.session
-        if (upstreams.hasNobodyFor(pool.name, session)) return exchange.fail(nobody(exchange))
-        line.add(exchange).forEach { it.fail(busy(it)) }
-    }
-
-    private fun nobody(exchange: Exchange) = when {
-        exchange.hasNotRun -> ErrorKind.NoHealthyUpstream.notRun(retryAfterMillis = NOBODY_RETRY_MILLIS)
-        else -> lost(exchange)
-    }
-
-    private fun busy(exchange: Exchange) = when {
-        exchange.hasNotRun -> ErrorKind.PoolExhausted.notRun(retryAfterMillis = BUSY_RETRY_MILLIS)
-        else -> lost(exchange)
-    }
-
-    private fun lost(exchange: Exchange) = Failure(
-        ErrorKind.UpstreamFailed,
-        Execution.MayHaveRun,
-        "no other upstream can go on with the request after ${exchange.tries} attempts",
-    )
-
-    /** Sends the exchange if an upstream can take it now. */
-    private fun place(exchange: Exchange): Boolean {
-        val pool = exchange.pool ?: return false
-        val request = exchange.request
-        val model = if (request.anyModel) request.route.models.getOrNull(exchange.modelIndex) else null
-        val need = UpstreamNeed(
-            pool = pool,
-            session = request.session,
-            demand = request.demand,
-            model = model.orEmpty(),
-            avoided = exchange.avoided,
-            mayReturn = exchange.hasNotRun,
-        )
-        val target = upstreams.choose(need) ?: return false
-        exchange.sendTo(target, model)
-        return true
-    }
-
-    override fun send(
-        exchange: Exchange,
-        target: UpstreamState,
-        attempt: Attempt,
-    ) = connections.send(target.upstream.address, attempt, unrepeatable = !exchange.request.route.repeatable)
-
-    override fun observed(
-        exchange: Exchange,
-        upstream: FleetUpstream,
-        good: Boolean,
-        firstByteMillis: Long,
-    ) {
-        val rollout = view.rolloutOf(upstream.pool) ?: return
-        rollouts.observed(rollout, exchange.request.route.name, upstream.version, good, firstByteMillis)
-    }
-
-    override fun answeredBy(
-        exchange: Exchange,
-        confidence: Int?,
-    ) {
-        val request = exchange.request
-        if (confidence != null && request.anyModel) {
-            models.learn(request.route, exchange.modelIndex, request.demand, confidence)
-        }
-    }
-
-    override fun largerModel(
-        exchange: Exchange,
-        confidence: Int?,
-    ): Int? {
-        val request = exchange.request
-        if (confidence == null || !request.anyModel || exchange.runs >= request.route.maxAttempts) return null
-        val onTimeLeftMillis = exchange.onTimeUntilMillis - nowMillis()
-        val larger = models.larger(request.route, exchange.modelIndex, request.demand, confidence, onTimeLeftMillis)
-        return larger?.takeIf { exchange.pool?.let { pool -> budgets.tryEscalation(pool.name) } == true }
-    }
-
-    override fun noted(
-        exchange: Exchange,
-        event: String,
-        detail: Map<String, Any?>,
-    ) = log.write(event, exchange, catalog?.version, detail)
-
-    override fun ended(end: ExchangeEnd) {
-        val exchange = end.exchange
-        active -= exchange
-        line.remove(exchange)
-        if (end.complete && exchange.events > 0) {
-            models.learnLength(exchange.request.route, exchange.events * TOKENS_PER_EVENT)
-        }
-        val ordinary = end.complete && exchange.tries == 1
-        if (!ordinary || log.isSampled(exchange.request.id)) noted(exchange, "request_ended", end.fields(nowMillis()))
-        retryWaiting()
-    }
-
     private fun malformed(
         caller: CallerConnection,
         status: HttpResponseStatus,
@@ -342,16 +253,15 @@
     ) {
         body.release()
         val id = request.headers()[vocabulary.attemptId]
-        logEvent("request_refused", mapOf("requestId" to id, "reason" to kind.name, "configuration" to catalog?.version))
+        val fields = mapOf("requestId" to id, "reason" to kind.name, "configuration" to catalog?.version)
+        logEvent("request_refused", fields)
         val own = answerTo(kind.notRun(retryAfterMillis = retryAfterMillis))
         caller.answer(HttpResponseStatus.valueOf(own.status), own.headers, own.content)
     }
 
     private fun tick() {
         upstreams.refresh(heard())
-        active.toList().forEach { it.tick() }
-        line.expired().forEach { it.fail(busy(it)) }
-        retryWaiting()
+        dispatch.tick()
         if (++ticks % TICKS_PER_PRUNE == 0L) prune()
     }
 
@@ -361,16 +271,9 @@
         if (draining) callers.closeIdle()
     }
 
-    private fun retryWaiting() = line.offer { it.phase != ExchangePhase.Waiting || place(it) }
-
     override fun close() {
         listening?.close()
     }
-
-    private companion object {
-        /** Tokens that an event usually holds; engines differ little. */
-        const val TOKENS_PER_EVENT = 7
-    }
 }
 
 private fun fieldsOf(upstream: FleetUpstream): Map<String, Any?> = mapOf(
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RepeatBudgets.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RepeatBudgets.kt
@@ -41,10 +41,11 @@
     private fun of(pool: PoolName) = budgets.getOrPut(pool) { Budgets(budget(REPEATED_PART), budget(ESCALATED_PART)) }
 
     private fun budget(part: Double): RetryBudget {
-        val own = settings.copy(
-            retryRatio = settings.retryRatio * part,
-            leastRetries = maxOf(1, (settings.leastRetries * part / hosts()).toInt()),
-        )
+        val own =
+            settings.copy(
+                retryRatio = settings.retryRatio * part,
+                leastRetries = maxOf(1, (settings.leastRetries * part / hosts()).toInt()),
+            )
         return RetryBudget(own, nowMillis)
     }
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestLog.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestLog.kt
@@ -33,16 +33,17 @@
         if (!mayWrite()) return
         val request = exchange.request
         val target = exchange.target
-        val common = mapOf(
-            "requestId" to request.id,
-            "route" to request.route.name,
-            "organisation" to request.organisation?.name?.value,
-            "upstream" to target?.upstream?.id?.value,
-            "modelIndex" to exchange.modelIndex,
-            "configuration" to configuration,
-            "heardMillisAgo" to target?.let { nowMillis() - it.heardAtMillis },
-            "load" to target?.estimatedLoad(),
-        )
+        val common =
+            mapOf(
+                "requestId" to request.id,
+                "route" to request.route.name,
+                "organisation" to request.organisation?.name?.value,
+                "upstream" to target?.upstream?.id?.value,
+                "modelIndex" to exchange.modelIndex,
+                "configuration" to configuration,
+                "heardMillisAgo" to target?.let { nowMillis() - it.heardAtMillis },
+                "load" to target?.estimatedLoad(),
+            )
         logEvent(event, common + detail)
     }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
@@ -6,6 +6,7 @@
 
 import io.carawaytrack.fleet.CatalogPool
 import io.carawaytrack.fleet.Departure
+import io.carawaytrack.fleet.FleetRollout
 import io.carawaytrack.fleet.FleetRolloutPhase
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.fleet.KnownUpstream
@@ -59,11 +60,15 @@
             .forEach { it.doubtWarmth(coldStartMillis(it.upstream.pool)) }
     }
 
+    fun rolloutOf(pool: PoolName): FleetRollout? = view.rolloutOf(pool)
+
     fun changed(known: KnownUpstream) {
         val upstream = known.upstream
         val state = states[upstream.id]
         if (state != null && state.upstream.startedAtMillis == upstream.startedAtMillis) return state.announced(known)
-        states.values.filter { it.upstream.address == upstream.address || it.upstream.id == upstream.id }.forEach(::drop)
+        states.values.filter { it.upstream.address == upstream.address || it.upstream.id == upstream.id }.forEach(
+            ::drop,
+        )
         states[upstream.id] = UpstreamState(known, nowMillis)
         prompts[upstream.id] = PromptMemory(nowMillis)
     }
@@ -106,7 +111,12 @@
     fun choose(need: UpstreamNeed): UpstreamState? {
         val free = allowed(need.pool.name, need.session).filter { isFree(it, need.pool) }
         val untried = free.filter { it.upstream.id !in need.avoided }
-        val usable = untried.filter { !it.isSuspect }.ifEmpty { untried }.ifEmpty { if (need.mayReturn) free else untried }
+        val usable =
+            untried
+                .filter {
+                    !it.isSuspect
+                }.ifEmpty { untried }
+                .ifEmpty { if (need.mayReturn) free else untried }
         val chosen = cheapest(usable, need) ?: return null
         if (!chosen.isCold || takeColdStart(chosen, need.pool)) return noteRead(chosen, need)
         return cheapest(usable.filter { !it.isCold }, need)?.let { noteRead(it, need) }
@@ -167,7 +177,14 @@
         return when (rollout.phase) {
             FleetRolloutPhase.Completed -> new.ifEmpty { old }
             FleetRolloutPhase.RolledBack -> old
-            FleetRolloutPhase.Running -> if (rollouts.takesNew(rollout, session) && new.any { !it.isPaused }) new else old
+            FleetRolloutPhase.Running ->
+                if (rollouts.takesNew(rollout, session) &&
+                    new.any { !it.isPaused }
+                ) {
+                    new
+                } else {
+                    old
+                }
         }
     }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/EventScannerTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EventScannerTest.kt
@@ -35,11 +35,12 @@
     ).map { case ->
         dynamicTest(case.name) {
             val scanner = EventScanner(case.resumedAfter)
-            val passedOn = case.arrived.joinToString("") { part ->
-                val bytes = Unpooled.copiedBuffer(part, Charsets.US_ASCII)
-                val events = scanner.take(bytes, ByteBufAllocator.DEFAULT)
-                events.toString(Charsets.US_ASCII).also { events.release() }
-            }
+            val passedOn =
+                case.arrived.joinToString("") { part ->
+                    val bytes = Unpooled.copiedBuffer(part, Charsets.US_ASCII)
+                    val events = scanner.take(bytes, ByteBufAllocator.DEFAULT)
+                    events.toString(Charsets.US_ASCII).also { events.release() }
+                }
             expectThat(passedOn).isEqualTo(case.passedOn)
             expectThat(scanner.lastId).isEqualTo(case.lastId)
             expectThat(scanner.isAtBoundary).isEqualTo(case.whole)
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
@@ -32,35 +32,39 @@
 import java.net.Socket
 import java.util.concurrent.TimeUnit
 
-private val vocabulary = HeaderVocabulary(
-    attemptId = "x-attempt",
-    deadlineMillis = "x-deadline",
-    expectedUpstream = "x-expect",
-    organisation = "x-organisation",
-    model = "x-model",
-    tokenUsage = "x-usage",
-    promptParts = "x-parts",
-    lengthHint = "x-length",
-    session = "x-session",
-    urgency = "x-urgency",
-    seal = "x-seal",
-    notExecuted = "x-not-executed",
-    load = "x-load",
-    coldMillis = "x-cold",
-    confidence = "x-confidence",
-    reserved = setOf("x-expect", "x-organisation", "x-urgency"),
-)
+private val vocabulary =
+    HeaderVocabulary(
+        attemptId = "x-attempt",
+        deadlineMillis = "x-deadline",
+        expectedUpstream = "x-expect",
+        organisation = "x-organisation",
+        model = "x-model",
+        tokenUsage = "x-usage",
+        promptParts = "x-parts",
+        lengthHint = "x-length",
+        session = "x-session",
+        urgency = "x-urgency",
+        seal = "x-seal",
+        notExecuted = "x-not-executed",
+        load = "x-load",
+        coldMillis = "x-cold",
+        confidence = "x-confidence",
+        reserved = setOf("x-expect", "x-organisation", "x-urgency"),
+    )
+
+private const val STREAM_HEAD = "HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nTransfer-Encoding: chunked\n\n"
 
 class GatewayTest {
     private val group = NioEventLoopGroup(1)
     private val callers = ServerSocket(0).use { HostPort("127.0.0.1", it.localPort) }
     private val upstreams = ArrayList<FakeUpstream>()
-    private val gateway = Gateway(
-        GatewaySettings(callers, ZoneName("a"), RetrySettings(retryRatio = 1.0, leastRetries = 100)),
-        vocabulary,
-        group,
-        { emptyList() },
-    ) { nowMillis() }
+    private val gateway =
+        Gateway(
+            GatewaySettings(callers, ZoneName("a"), RetrySettings(retryRatio = 1.0, leastRetries = 100)),
+            vocabulary,
+            group,
+            { emptyList() },
+        ) { nowMillis() }
 
     private fun nowMillis() = System.nanoTime() / 1_000_000
 
@@ -86,19 +90,21 @@
         sticky = false,
     )
 
-    private val catalog = Catalog(
-        version = 1,
-        routes = listOf(
-            route("lookup"),
-            route("pay", idempotent = false),
-            route("draft", streaming = true),
-            route("oneoff", streaming = true, idempotent = false),
-        ),
-        pools = listOf("stock", "llm").map { pool(it) }.associateBy { it.name },
-        organisations = listOf(CatalogOrganisation(OrganisationName("stalls"), setOf("k1"), rank = null)),
-        keysRequired = true,
-        limits = CallerLimits(maxBodyBytes = 1_000),
-    )
+    private val catalog =
+        Catalog(
+            version = 1,
+            routes =
+                listOf(
+                    route("lookup"),
+                    route("pay", idempotent = false),
+                    route("draft", streaming = true),
+                    route("oneoff", streaming = true, idempotent = false),
+                ),
+            pools = listOf("stock", "llm").map { pool(it) }.associateBy { it.name },
+            organisations = listOf(CatalogOrganisation(OrganisationName("stalls"), setOf("k1"), rank = null)),
+            keysRequired = true,
+            limits = CallerLimits(maxBodyBytes = 1_000),
+        )
 
     private fun pool(name: String) = CatalogPool(
         name = PoolName(name),
@@ -130,18 +136,19 @@
         index: Int,
     ) {
         val address = if (pool == "stock") fake.address else fake.address.copy(host = "localhost")
-        val upstream = FleetUpstream(
-            id = UpstreamId(id),
-            pool = PoolName(pool),
-            address = address,
-            zone = ZoneName(if (index == 0) "a" else "b"),
-            version = "v1",
-            slots = 8,
-            leaving = false,
-            coldMillis = 0,
-            sequence = 1,
-            startedAtMillis = 1,
-        )
+        val upstream =
+            FleetUpstream(
+                id = UpstreamId(id),
+                pool = PoolName(pool),
+                address = address,
+                zone = ZoneName(if (index == 0) "a" else "b"),
+                version = "v1",
+                slots = 8,
+                leaving = false,
+                coldMillis = 0,
+                sequence = 1,
+                startedAtMillis = 1,
+            )
         onLoop { gateway.changed(KnownUpstream(upstream, nowMillis())) }
     }
 
@@ -165,8 +172,6 @@
         headers: String = "x-seal: s\n",
     ) = "HTTP/1.1 $status\nx-attempt: id1\n${headers}Content-Length: ${body.length}\n\n$body"
 
-    private fun streamHead() = "HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nTransfer-Encoding: chunked\n\n"
-
     private fun event(id: Int): String {
         val event = "id: $id\ndata: $id\n\n"
         return "${event.length.toString(16)}\n".replace("\n", "\r\n") + event + "\r\n"
@@ -235,7 +240,13 @@
     @Test
     fun `a broken answer is replaced for a request that may run twice`() {
         serve(
-            { _, out, _ -> false.also { out.send("HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nContent-Length: 50\n\nhalf") } },
+            {
+                _,
+                out,
+                _,
+                ->
+                false.also { out.send("HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nContent-Length: 50\n\nhalf") }
+            },
             { _, out, _ -> true.also { out.send(whole("200 OK", "second")) } },
         )
         expectThat(ask(request("/lookup/x"))?.body).isEqualTo("second")
@@ -287,13 +298,13 @@
     fun `a stream goes on at another upstream after its last whole event`() {
         serve(
             { _, out, _ ->
-                out.send(streamHead())
+                out.send(STREAM_HEAD)
                 out.raw(event(1) + event(2))
                 out.raw("5\r\nid: 3")
                 false
             },
             { request, out, _ ->
-                out.send(streamHead())
+                out.send(STREAM_HEAD)
                 out.raw(event(request["last-event-id"]!!.toInt() + 1) + "0\r\n\r\n")
                 true
             },
@@ -305,7 +316,7 @@
     @Test
     fun `a failure by the upstream that is to go on with a stream isn't the stream's end`() {
         serve(
-            { _, out, _ -> false.also { out.send(streamHead()).also { _ -> out.raw(event(1)) } } },
+            { _, out, _ -> false.also { out.send(STREAM_HEAD).also { _ -> out.raw(event(1)) } } },
             { _, out, _ -> true.also { out.send(whole("500 Internal Server Error", "sorry")) } },
         )
         expectThat(ask(request("/draft/x"))?.body.orEmpty()).isEqualTo("id: 1\ndata: 1\n\n(broken off)")
@@ -314,7 +325,7 @@
     @Test
     fun `a stream that may not be resumed ends broken off`() {
         serve(
-            { _, out, _ -> false.also { out.send(streamHead()).also { _ -> out.raw(event(1)) } } },
+            { _, out, _ -> false.also { out.send(STREAM_HEAD).also { _ -> out.raw(event(1)) } } },
             { _, out, _ -> true.also { out.send(whole("200 OK", "second")) } },
         )
         expectThat(ask(request("/oneoff/x"))?.body.orEmpty()).contains("(broken off)")
@@ -324,7 +335,7 @@
     @Test
     fun `an upstream is let go when the caller of a stream leaves`() {
         serve({ _, out, _ ->
-            out.send(streamHead())
+            out.send(STREAM_HEAD)
             var id = 0
             while (true) out.raw(event(++id))
             @Suppress("UNREACHABLE_CODE")
@@ -346,7 +357,15 @@
 
     @Test
     fun `two requests sent at once on one connection are answered in order`() {
-        serve({ request, out, _ -> true.also { out.send(whole("200 OK", request.start.substringAfter("/lookup/").take(1))) } })
+        serve(
+            { request, out, _ ->
+                true.also {
+                    out.send(
+                        whole("200 OK", request.start.substringAfter("/lookup/").take(1)),
+                    )
+                }
+            },
+        )
         FakeCaller(callers).use { caller ->
             caller.send(request("/lookup/1") + request("/lookup/2"))
             expectThat(caller.answer()?.body).isEqualTo("1")
@@ -370,8 +389,10 @@
                 caller.send(request("/lookup/x"))
                 expectThat(caller.answer()?.body).isEqualTo("done")
                 // A connection on which a request has begun is not idle.
-                other.send("POST /draft/x HTTP/1.1\nHost: shop.example\nx-attempt: id1\nContent-Length: 1\n" +
-                    "Authorization: Bearer k1\n\n")
+                other.send(
+                    "POST /draft/x HTTP/1.1\nHost: shop.example\nx-attempt: id1\nContent-Length: 1\n" +
+                        "Authorization: Bearer k1\n\n",
+                )
                 caller.send(request("/lookup/x", body = "ab").dropLast(1))
                 caller.awaitRead()
                 onLoop { gateway.drain() }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/Loopback.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/Loopback.kt
@@ -39,8 +39,9 @@
 /** Reads a message; null at the end of the connection. */
 internal fun readMessage(input: InputStream): RawMessage? {
     val start = readLine(input)?.takeIf { it.isNotEmpty() } ?: return null
-    val headers = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
-        .associate { it.substringBefore(':').trim().lowercase() to it.substringAfter(':').trim() }
+    val headers =
+        generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
+            .associate { it.substringBefore(':').trim().lowercase() to it.substringAfter(':').trim() }
     return RawMessage(start, headers, readBody(input, headers))
 }
 
@@ -83,18 +84,24 @@
     }
 
     private fun serve(socket: Socket) = socket.use {
-        val input = BufferedInputStream(it.getInputStream())
         try {
-            while (true) {
-                val request = readMessage(input) ?: return@use
-                requests += request
-                if (!answer(request, it.getOutputStream(), it)) return@use
-            }
+            answerAll(it, BufferedInputStream(it.getInputStream()))
         } catch (_: IOException) {
             closedByPeer += "closed"
         }
     }
 
+    private fun answerAll(
+        socket: Socket,
+        input: InputStream,
+    ) {
+        while (true) {
+            val request = readMessage(input) ?: return
+            requests += request
+            if (!answer(request, socket.getOutputStream(), socket)) return
+        }
+    }
+
     override fun close() = server.close()
 }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ModelPolicyTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ModelPolicyTest.kt
@@ -20,23 +20,24 @@
 import kotlin.random.Random
 
 class ModelPolicyTest {
-    private val route = CatalogRoute(
-        name = "drafts",
-        host = "shop.example",
-        pathPrefix = "/a/",
-        idempotent = false,
-        streaming = true,
-        resumable = true,
-        timeoutMillis = 20_000,
-        latencyTargetMillis = 2_000,
-        pauseTargetMillis = 1_000,
-        rank = 0,
-        models = listOf("small", "middle", "large"),
-        shares = listOf(PoolShare(PoolName("llm"), 1)),
-        maxAttempts = 3,
-        public = false,
-        sticky = true,
-    )
+    private val route =
+        CatalogRoute(
+            name = "drafts",
+            host = "shop.example",
+            pathPrefix = "/a/",
+            idempotent = false,
+            streaming = true,
+            resumable = true,
+            timeoutMillis = 20_000,
+            latencyTargetMillis = 2_000,
+            pauseTargetMillis = 1_000,
+            rank = 0,
+            models = listOf("small", "middle", "large"),
+            shares = listOf(PoolShare(PoolName("llm"), 1)),
+            maxAttempts = 3,
+            public = false,
+            sticky = true,
+        )
 
     private fun pool(
         small: Double,
@@ -65,7 +66,15 @@
         Case("confident", 1_000, 300, confidence = 90, index = 0, leftMillis = 1_900, larger = null),
         Case("doubtful", 1_000, 300, confidence = 70, index = 0, leftMillis = 1_900, larger = 2),
         Case("doubtful, but hardly any time", 1_000, 300, confidence = 70, index = 0, leftMillis = 400, larger = null),
-        Case("doubtful, but already the largest", 1_000, 300, confidence = 10, index = 2, leftMillis = 1_900, larger = null),
+        Case(
+            "doubtful, but already the largest",
+            1_000,
+            300,
+            confidence = 10,
+            index = 2,
+            leftMillis = 1_900,
+            larger = null,
+        ),
         Case("a little doubtful, and dear", 2_000, 20, confidence = 70, index = 0, leftMillis = 1_900, larger = null),
         Case("more likely wrong, though dear", 2_000, 20, confidence = 30, index = 0, leftMillis = 1_900, larger = 2),
     ).map { case ->
@@ -73,7 +82,9 @@
             val policy = ModelPolicy()
             policy.learnLength(route, case.answerTokens)
             val demand = PromptDemand(case.promptTokens, 1_000)
-            expectThat(policy.larger(route, case.index, demand, case.confidence, case.leftMillis)).isEqualTo(case.larger)
+            expectThat(
+                policy.larger(route, case.index, demand, case.confidence, case.leftMillis),
+            ).isEqualTo(case.larger)
         }
     }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/OwnAnswerTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/OwnAnswerTest.kt
@@ -15,8 +15,10 @@
 
 class OwnAnswerTest {
     @TestFactory
-    fun `no kind promises that a request which may have run has not`(): List<DynamicTest> =
-        ErrorKind.entries.flatMap { kind -> listOf(Execution.MayHaveRun, Execution.Ran).map { kind to it } }.map { (kind, ran) ->
+    fun `no kind promises that a request which may have run has not`(): List<DynamicTest> = ErrorKind.entries
+        .flatMap { kind ->
+            listOf(Execution.MayHaveRun, Execution.Ran).map { kind to it }
+        }.map { (kind, ran) ->
             dynamicTest("$kind $ran") {
                 expectThat(answerTo(Failure(kind, ran)).status in setOf(408, 421, 429, 503)).isFalse()
             }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/PlacementTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/PlacementTest.kt
@@ -44,7 +44,12 @@
     fun `a request goes where it costs least`(): List<DynamicTest> = listOf(
         Case("nowhere without candidates", emptyList(), short, null),
         Case("to the less loaded engine", listOf(engine("a", load = 30), engine("b", load = 5)), short, "b"),
-        Case("to its own zone at like loads", listOf(engine("a", load = 1, sameZone = false), engine("b", 2)), short, "b"),
+        Case(
+            "to its own zone at like loads",
+            listOf(engine("a", load = 1, sameZone = false), engine("b", 2)),
+            short,
+            "b",
+        ),
         Case(
             "to another zone when its own is crowded",
             listOf(engine("a", load = 2, sameZone = false), engine("b", load = 60)),
@@ -85,7 +90,11 @@
             val subject = "s${random.nextInt(40)}"
             val demand = PromptDemand(5_100, 10, listOf(PromptPart(subject, 5_000), PromptPart("own$it", 100)))
             val engines = List(9) { index -> engine("e$index", load = random.nextInt(10), held = emptySet()) }
-            val index = choose(engines, demand)!!.id.value.drop(1).toInt()
+            val index =
+                choose(engines, demand)!!
+                    .id.value
+                    .drop(1)
+                    .toInt()
             read += if (held[index].add(subject)) 5_100 else 100
         }
         return read
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -135,8 +135,8 @@
         storage.execute { withDisk { initialiseAndOpen(it, founding) } }
     }
 
-    /** Runs [work] where files may be waited for. */
-    fun onStorageThread(work: () -> Unit) = storage.execute(work)
+    /** Keeps [recent] for the next start, without waiting for the disk. */
+    fun save(recent: Recent) = storage.execute { saveRecent(setup.folder, recent) }
 
     fun receive(message: MeshMessage.Replication) {
         val open = replica ?: return
@@ -153,7 +153,10 @@
         // Checked whoever leads by this status: leadership may be won between the check and the append.
         when {
             voters >= setup.requiredVoters -> open.propose(command)
-            status.leading -> Err(ErrorKind.ControlUnavailable.notRun("expected ${setup.requiredVoters} members, found $voters"))
+            status.leading ->
+                Err(
+                    ErrorKind.ControlUnavailable.notRun("expected ${setup.requiredVoters} members, found $voters"),
+                )
             else -> Err(ErrorKind.NotLeader.notRun("this host does not lead, or not yet"))
         }
     }
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -41,9 +41,6 @@
 /** Pause before an unanswered request for a view is repeated, in milliseconds. */
 private const val VIEW_REPEAT_MILLIS = 300L
 
-/** Time that a host waits for the others before it founds a group, in milliseconds: above the spread of starts. */
-private const val FOUNDING_WAIT_MILLIS = 900L
-
 /**
  * Sets up this host's part of the mesh.
  *
@@ -134,15 +131,16 @@
 ) : Mesh {
     private val self = settings.self
     private val loop = group.next()
-    private val links = Links(group, LinkEvents(::opened, ::received, ::closed, { logger.debug { "$it can't be reached" } }), nowMillis)
+    private val links =
+        Links(group, LinkEvents(::opened, ::received, ::closed, { logger.debug { "$it can't be reached" } }), nowMillis)
     private val open = LinkedHashSet<MeshLink>()
     private val peers = Peers(self, settings.seeds, nowMillis)
     private val tallies = HashMap<HostPort, List<RolloutTally>>()
-    private val startedAtMillis = nowMillis()
+    private val formation = Formation(settings, peers, nowMillis)
+    private val recentKeeper = RecentKeeper()
     private var listening: Channel? = null
     private var viewAskedAtMillis = 0L
     private var lastPulseMillis = 0L
-    private var keptRecent: Any? = null
     private var core: CoreMember? = null
 
     override val upstreams: UpstreamRegistry = UpstreamRegistry(nowMillis)
@@ -169,8 +167,10 @@
 
     fun start() {
         listening = links.listen(self.address)
-        settings.folder?.let(::readRecent)?.let { recent -> loop.execute { recall(recent) } }
-        core = settings.folder?.let { CoreMember(setup(it)) }?.also { it.open() }
+        settings.folder?.let { folder ->
+            readRecent(folder)?.let { recent -> loop.execute { recall(recent) } }
+            core = CoreMember(setup(folder)).also { it.open() }
+        }
         loop.scheduleAtFixedRate(::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
@@ -181,17 +181,6 @@
         logger.info { "event=recent_state_recalled index=${recent.view.index} upstreams=${recent.upstreams.size}" }
     }
 
-    /** Keeps what is known for the next start, if it has changed. */
-    private fun keepRecent() {
-        val folder = settings.folder ?: return
-        val known = upstreams.upstreams.map { it.upstream }
-        val mark = view.index to known.map { it.id to it.startedAtMillis }
-        if (view.index == 0L || mark == keptRecent) return
-        keptRecent = mark
-        val recent = Recent(view, known)
-        core?.onStorageThread { saveRecent(folder, recent) }
-    }
-
     private fun setup(folder: Path) = CoreSetup(
         folder = folder,
         address = self.address,
@@ -213,22 +202,15 @@
         command: FleetCommand,
         done: (Result<Unit, Failure>) -> Unit,
     ) {
-        val member = core ?: return done(Err(notLeading()))
-        onceOnLoop(done) { finish -> member.propose(command.encode()) { finish(it.toUnit()) } }
+        val member = core ?: return done(Err(noCopy))
+        member.propose(command.encode()) { result -> loop.execute { done(result.toUnit()) } }
     }
 
     override fun confirm(done: (Result<Unit, Failure>) -> Unit) {
-        val member = core ?: return done(Err(notLeading()))
-        onceOnLoop(done) { finish -> member.confirm(finish) }
+        val member = core ?: return done(Err(noCopy))
+        member.confirm { result -> loop.execute { done(result) } }
     }
 
-    private fun onceOnLoop(
-        done: (Result<Unit, Failure>) -> Unit,
-        call: ((Result<Unit, Failure>) -> Unit) -> Unit,
-    ) = call { result -> loop.execute { done(result) } }
-
-    private fun notLeading() = ErrorKind.NotLeader.notRun("this host keeps no copy of the agreed state")
-
     override fun report(tallies: List<RolloutTally>) {
         this.tallies[self.address] = tallies
         if (!leading) leader?.let(::linkTo)?.send(MeshMessage.Tallies(tallies))
@@ -247,8 +229,10 @@
         if (now - lastPulseMillis >= PULSE_MILLIS) pulse()
         spread.tick()
         peers.due(coreLinks().mapNotNull { it.peer?.address }.toSet()).forEach(links::dial)
-        core?.let(::tend)
-        keepRecent()
+        core?.let { member ->
+            formation.tend(member, open, coreLinks(), groupExists = leader != null || view.index > 0)
+            recentKeeper.keep(member, view, upstreams.upstreams)
+        }
     }
 
     private fun closeSilent(link: MeshLink) {
@@ -256,21 +240,6 @@
         link.close()
     }
 
-    private fun tend(member: CoreMember) {
-        if (member.initialised == false) mayInitialise()?.let(member::initialise)
-        member.joinRequest()?.let { request -> coreLinks().forEach { it.send(request) } }
-        member.maintain()
-    }
-
-    /** Returns null while this host must wait, else whether it founds the group (or joins one). */
-    private fun mayInitialise(): Boolean? {
-        val groupExists = !settings.bootstrap || leader != null || view.index > 0
-        if (groupExists) return false
-        if (nowMillis() - startedAtMillis < FOUNDING_WAIT_MILLIS) return null
-        val founder = peers.founder(open) ?: return null
-        return if (founder == self.address) true else null
-    }
-
     private fun pulse() {
         lastPulseMillis = nowMillis()
         val status = core?.status
@@ -362,7 +331,8 @@
         open.toList().forEach { it.close() }
         core?.close()
     }
-
 }
 
+private val noCopy = ErrorKind.NotLeader.notRun("this host keeps no copy of the agreed state")
+
 private fun Result<ByteArray, Failure>.toUnit(): Result<Unit, Failure> = map { }
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/RecentState.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/RecentState.kt
@@ -8,6 +8,8 @@
 
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.FleetView
+import io.carawaytrack.fleet.KnownUpstream
+import io.carawaytrack.model.UpstreamId
 import io.carawaytrack.storage.checksum
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -40,19 +42,41 @@
     val upstreams: List<FleetUpstream>,
 )
 
-
 private val recentCbor = Cbor { ignoreUnknownKeys = true }
 
+/** Has what is known written whenever it has changed. */
+internal class RecentKeeper {
+    private var keptIndex = 0L
+    private var kept: Map<UpstreamId, Long> = emptyMap()
+
+    fun keep(
+        member: CoreMember,
+        view: FleetView,
+        upstreams: Collection<KnownUpstream>,
+    ) {
+        val starts = upstreams.associate { it.upstream.id to it.upstream.startedAtMillis }
+        if (view.index == 0L || (view.index == keptIndex && starts == kept)) return
+        keptIndex = view.index
+        kept = starts
+        member.save(Recent(view, upstreams.map { it.upstream }))
+    }
+}
+
 /** Writes [recent] to [folder]; a failure costs only the quick start, so it is logged and nothing else. */
 internal fun saveRecent(
     folder: Path,
     recent: Recent,
 ) {
     val content = recentCbor.encodeToByteArray(recent)
-    val sealed = ByteBuffer.allocate(Long.SIZE_BYTES + content.size).putLong(checksum(content)).put(content).flip()
+    val sealed =
+        ByteBuffer
+            .allocate(Long.SIZE_BYTES + content.size)
+            .putLong(checksum(content))
+            .put(content)
+            .flip()
     try {
-        val options = arrayOf(StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)
-        FileChannel.open(folder.resolve(TEMPORARY_FILE), setOf(*options)).use { file ->
+        val options = setOf(StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)
+        FileChannel.open(folder.resolve(TEMPORARY_FILE), options).use { file ->
             while (sealed.hasRemaining()) file.write(sealed)
             file.force(true)
         }
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamSpread.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamSpread.kt
@@ -86,8 +86,7 @@
         refreshed.clear()
     }
 
-    private fun relayed(known: KnownUpstream) =
-        RelayedUpstream(known.upstream, nowMillis() - known.heardAtMillis)
+    private fun relayed(known: KnownUpstream) = RelayedUpstream(known.upstream, nowMillis() - known.heardAtMillis)
 
     /** Sends to all peers from a host with a disk, and through [copies] of those from another host. */
     private fun send(
--- a/mesh/src/test/kotlin/io/carawaytrack/mesh/MeshFormationTest.kt
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/MeshFormationTest.kt
@@ -45,15 +45,22 @@
         val group = NioEventLoopGroup(1)
         val views = LinkedBlockingQueue<FleetView>()
         val upstreams = LinkedBlockingQueue<String>()
-        val mesh = Mesh(
-            MeshSettings(PeerCard(address, ZoneName("a"), data != null), seeds, data, bootstrap, requiredVoters = 3),
-            group,
-            MeshEvents(
-                viewChanged = { views += it },
-                upstreamChanged = { upstreams += it.upstream.id.value },
-                upstreamGone = { upstreams += "gone ${it.id}" },
-            ),
-        ) { System.nanoTime() / 1_000_000 }
+        val mesh =
+            Mesh(
+                MeshSettings(
+                    PeerCard(address, ZoneName("a"), data != null),
+                    seeds,
+                    data,
+                    bootstrap,
+                    requiredVoters = 3,
+                ),
+                group,
+                MeshEvents(
+                    viewChanged = { views += it },
+                    upstreamChanged = { upstreams += it.upstream.id.value },
+                    upstreamGone = { upstreams += "gone ${it.id}" },
+                ),
+            ) { System.nanoTime() / 1_000_000 }
 
         fun propose(command: FleetCommand): Result<Unit, Failure> {
             val done = CompletableFuture<Result<Unit, Failure>>()
@@ -63,9 +70,10 @@
 
         fun awaitVersion(version: Long) {
             while (true) {
-                val view = checkNotNull(views.poll(LIMIT_SECONDS, TimeUnit.SECONDS)) {
-                    "expected version $version at $address, heard nothing more for $LIMIT_SECONDS s"
-                }
+                val view =
+                    checkNotNull(views.poll(LIMIT_SECONDS, TimeUnit.SECONDS)) {
+                        "expected version $version at $address, heard nothing more for $LIMIT_SECONDS s"
+                    }
                 if (view.version == version) return
             }
         }
@@ -137,18 +145,19 @@
         all.forEachIndexed { index, address -> start(address, all.take(3), if (index < 3) data("d$index") else null) }
         commit(replace(7))
         hosts.forEach { it.awaitVersion(7) }
-        val upstream = FleetUpstream(
-            id = UpstreamId("u"),
-            pool = PoolName("p"),
-            address = HostPort("127.0.0.1", 9),
-            zone = ZoneName("a"),
-            version = "v1",
-            slots = 1,
-            leaving = false,
-            coldMillis = 0,
-            sequence = 1,
-            startedAtMillis = 1,
-        )
+        val upstream =
+            FleetUpstream(
+                id = UpstreamId("u"),
+                pool = PoolName("p"),
+                address = HostPort("127.0.0.1", 9),
+                zone = ZoneName("a"),
+                version = "v1",
+                slots = 1,
+                leaving = false,
+                coldMillis = 0,
+                sequence = 1,
+                startedAtMillis = 1,
+            )
         val outermost = hosts.last()
         outermost.group.next().execute { outermost.mesh.announce(upstream) }
         hosts.forEach { expectThat(it.upstreams.poll(LIMIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("u") }
--- a/model/src/main/kotlin/io/carawaytrack/model/Administration.kt
+++ b/model/src/main/kotlin/io/carawaytrack/model/Administration.kt
@@ -130,7 +130,7 @@
 
 /** Tells what a process of the system does. */
 @Serializable
-public enum class NodeRole { Entry, Agent, Control, Tool }
+public enum class NodeRole { Entry, Agent, Control, Tool, Host }
 
 /**
  * Charges an organisation for one request.
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
@@ -207,6 +207,36 @@
     internal val gcSeconds = counter("jvm_gc_collection_seconds_total", "Time spent in garbage collection.", "gc")
     internal val gcCollections = counter("jvm_gc_collections_total", "Garbage collections.", "gc")
 
+    internal val hostRequests =
+        counter(
+            "caraway_host_requests_total",
+            "Ended requests of a host.",
+            ORGANISATION_LABEL,
+            ROUTE_LABEL,
+            KIND_LABEL,
+            EXECUTION_LABEL,
+        )
+    internal val hostRequestSeconds =
+        histogram("caraway_host_request_seconds", "Time from request to the end.", requestBounds, ROUTE_LABEL)
+    internal val hostFirstByteSeconds =
+        histogram("caraway_host_first_byte_seconds", "Time to the first byte.", firstByteBounds, ROUTE_LABEL)
+    internal val hostAttempts =
+        counter("caraway_host_attempts_total", "Ended attempts of a host.", "pool", VERSION_LABEL, "outcome")
+    internal val hostConfiguration =
+        gauge("caraway_host_configuration_version", "Version of the operator's document in force on a host.")
+    internal val hostViewIndex = gauge("caraway_host_view_index", "Log index of the agreed state that a host knows.")
+    internal val hostUpstreams = gauge("caraway_host_upstreams", "Upstreams that a host knows, by pool.", "pool")
+    internal val hostSilence =
+        gauge(
+            "caraway_host_upstream_silence_seconds",
+            "Longest silence of an upstream that a host knows, by pool.",
+            "pool",
+        )
+    internal val hostPeers = gauge("caraway_host_peers", "Hosts that a host counts, itself included.")
+    internal val hostLeading = gauge("caraway_host_leading", "Whether a host leads the core, 0 or 1.")
+    internal val hostUnfinished = gauge("caraway_host_unfinished_requests", "Requests that are being served.")
+    internal val hostWaiting = gauge("caraway_host_waiting_requests", "Requests that wait for an upstream with room.")
+
     /** All metrics, by what they are for. */
     public val sections: List<MetricSection> =
         listOf(
@@ -271,6 +301,24 @@
                 setOf(NodeRole.Control),
                 listOf(heartbeats, changes, holders, upstreams, openIntents, sessions),
             ),
+            MetricSection(
+                "Host on the platform",
+                setOf(NodeRole.Host),
+                listOf(
+                    hostRequests,
+                    hostRequestSeconds,
+                    hostFirstByteSeconds,
+                    hostAttempts,
+                    hostConfiguration,
+                    hostViewIndex,
+                    hostUpstreams,
+                    hostSilence,
+                    hostPeers,
+                    hostLeading,
+                    hostUnfinished,
+                    hostWaiting,
+                ),
+            ),
             MetricSection(
                 "Process",
                 setOf(NodeRole.Entry, NodeRole.Agent, NodeRole.Control),
--- a/telemetry/src/test/kotlin/io/carawaytrack/telemetry/MetricsTest.kt
+++ b/telemetry/src/test/kotlin/io/carawaytrack/telemetry/MetricsTest.kt
@@ -331,6 +331,35 @@
             .containsExactlyInAnyOrder(listed.map { it.name.removeSuffix("_total") })
     }
 
+    @Test
+    fun `a host registers exactly the metrics that the catalog lists for it, and renders what it believes`() {
+        val registry = PrometheusRegistry()
+        val pool = PoolName("llm")
+        val metrics =
+            HostMetrics(registry) {
+                HostBeliefs(
+                    configurationVersion = 7,
+                    viewIndex = 12,
+                    upstreams = mapOf(pool to 3),
+                    silenceMillis = mapOf(pool to 1_500),
+                    peers = 8,
+                    leading = true,
+                    unfinished = 2,
+                    waiting = 1,
+                )
+            }
+        metrics.requestEnded(null, "drafts", ErrorKind.PoolExhausted, Execution.NotRun, 250, firstByteMillis = null)
+        metrics.attemptEnded(pool, "v1", good = false)
+        val listed = MetricCatalog.sections.filter { NodeRole.Host in it.roles }.flatMap { it.metrics }
+        expectThat(registry.scrape().map { it.metadata.name })
+            .containsExactlyInAnyOrder(listed.map { it.name.removeSuffix("_total") })
+        expectThat(metrics.text().decodeToString().lines()).contains(
+            "caraway_host_configuration_version 7.0",
+            """caraway_host_upstream_silence_seconds{pool="llm"} 1.5""",
+            """caraway_host_attempts_total{outcome="failed",pool="llm",version="v1"} 1.0""",
+        )
+    }
+
     private fun registeredNames(role: NodeRole): Set<String> {
         val registry = Telemetry(NodeId("n"), role, ZoneName("a"), TelemetrySettings()) { }.use { it.registry }
         when (role) {
