--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
@@ -1,6 +1,6 @@
 /*
- * What a host on the platform reports: its requests and attempts as they end, and at each scrape what it believes of its
- * fleet.
+ * What a host on the platform reports: its requests and attempts as they end, and at each scrape what it believes of
+ * its fleet.
  */
 package io.carawaytrack.telemetry
 
