--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -318,6 +318,7 @@
             context: ChannelHandlerContext,
             cause: Throwable,
         ) {
+            logUnexpected("caller", cause)
             context.close()
         }
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -30,10 +30,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
-import java.util.concurrent.TimeUnit
 
 /** Interval at which deadlines, silent upstreams and waiting requests are looked at, in milliseconds. */
-private const val TICK_MILLIS = 100L
+public const val GATEWAY_TICK_MILLIS: Long = 100
 
 /** Ticks between two looks at idle connections. */
 private const val TICKS_PER_PRUNE = 10
@@ -111,6 +110,9 @@
         version: String,
     ): Boolean
 
+    /** Looks at deadlines, silent upstreams and waiting requests; to be called about every [GATEWAY_TICK_MILLIS]. */
+    public fun tick()
+
     /**
      * Begins a graceful shutdown: no connection is accepted any more, idle ones are closed, the others end with their
      * answers, and streams, which might not end in time, are refused.
@@ -131,7 +133,7 @@
 private class LoopGateway(
     private val settings: GatewaySettings,
     private val vocabulary: HeaderVocabulary,
-    private val group: EventLoopGroup,
+    group: EventLoopGroup,
     private val heard: () -> Collection<KnownUpstream>,
     meters: GatewayMeters,
     private val nowMillis: () -> Long,
@@ -157,7 +159,6 @@
 
     fun start() {
         listening = callers.listen(settings.callers)
-        group.next().scheduleAtFixedRate(::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     override fun apply(catalog: Catalog) {
@@ -259,7 +260,7 @@
         caller.answer(HttpResponseStatus.valueOf(own.status), own.headers, own.content)
     }
 
-    private fun tick() {
+    override fun tick() {
         upstreams.refresh(heard())
         dispatch.tick()
         if (++ticks % TICKS_PER_PRUNE == 0L) prune()
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/HttpEndpoint.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/HttpEndpoint.kt
@@ -116,6 +116,7 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        logUnexpected("endpoint", cause)
         context.close()
     }
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestLog.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestLog.kt
@@ -6,6 +6,7 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
+import java.io.IOException
 
 private val logger = KotlinLogging.logger {}
 
@@ -69,3 +70,11 @@
     message = event
     payload = fields.filterValues { it != null }
 }
+
+/** Writes of a [cause] that ended a connection of the given [side], unless the network brought it about. */
+internal fun logUnexpected(
+    side: String,
+    cause: Throwable,
+) {
+    if (cause !is IOException) logger.error(cause) { "connection_failed side=$side" }
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -334,6 +334,7 @@
             cause: Throwable,
         ) {
             broken = true
+            logUnexpected("upstream", cause)
             context.close()
         }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
@@ -66,6 +66,11 @@
             { emptyList() },
         ) { nowMillis() }
 
+    init {
+        val tick = { gateway.tick() }
+        group.next().scheduleAtFixedRate(tick, GATEWAY_TICK_MILLIS, GATEWAY_TICK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     private fun nowMillis() = System.nanoTime() / 1_000_000
 
     private fun route(
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -25,7 +25,6 @@
 import io.netty.channel.Channel
 import io.netty.channel.EventLoopGroup
 import java.nio.file.Path
-import java.util.concurrent.TimeUnit
 
 private val logger = KotlinLogging.logger {}
 
@@ -35,8 +34,8 @@
 /** Silence after which a link is closed, in milliseconds: three missed pulses. */
 private const val LINK_SILENCE_MILLIS = 1_300L
 
-/** Interval of dialling, joining and maintenance, in milliseconds. */
-private const val TICK_MILLIS = 200L
+/** Interval of dialling, joining and maintenance, in milliseconds: half a pulse. */
+public const val MESH_TICK_MILLIS: Long = 200
 
 /** Pause before an unanswered request for a view is repeated, in milliseconds. */
 private const val VIEW_REPEAT_MILLIS = 300L
@@ -111,6 +110,9 @@
     /** Returns the sum of what all hosts have told this one of the roll-out ordered at [order]. */
     public fun tallyOf(order: Long): RolloutTally
 
+    /** Sends what is due and looks after links and members; to be called about every [MESH_TICK_MILLIS]. */
+    public fun tick()
+
     /** Uses other seeds from now on. */
     public fun reseed(seeds: List<HostPort>)
 }
@@ -171,7 +173,6 @@
             readRecent(folder)?.let { recent -> loop.execute { recall(recent) } }
             core = CoreMember(setup(folder)).also { it.open() }
         }
-        loop.scheduleAtFixedRate(::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     /** Takes up what was known before a restart. */
@@ -223,9 +224,12 @@
 
     override fun reseed(seeds: List<HostPort>) = peers.reseed(seeds)
 
-    private fun tick() {
+    override fun tick() {
         val now = nowMillis()
-        open.filter { now - it.heardAtMillis > LINK_SILENCE_MILLIS }.forEach(::closeSilent)
+        open.filter { now - it.heardAtMillis > LINK_SILENCE_MILLIS }.forEach { link ->
+            logger.warn { "event=link_silent peer=${link.peer?.address} dialled=${link.dialled}" }
+            link.close()
+        }
         if (now - lastPulseMillis >= PULSE_MILLIS) pulse()
         spread.tick()
         peers.due(coreLinks().mapNotNull { it.peer?.address }.toSet()).forEach(links::dial)
@@ -235,17 +239,16 @@
         }
     }
 
-    private fun closeSilent(link: MeshLink) {
-        logger.warn { "event=link_silent peer=${link.peer?.address} dialled=${link.dialled}" }
-        link.close()
-    }
-
     private fun pulse() {
         lastPulseMillis = nowMillis()
+        val pulse = currentPulse().encode()
+        open.forEach { it.send(pulse) }
+    }
+
+    private fun currentPulse(): MeshMessage.Pulse {
         val status = core?.status
         val lowest = if (view.index == 0L) peers.lowestCore() else null
-        val pulse = MeshMessage.Pulse(view.index, status?.leader, status?.term ?: 0, hosts, lowest).encode()
-        open.forEach { it.send(pulse) }
+        return MeshMessage.Pulse(view.index, status?.leader, status?.term ?: 0, hosts, lowest)
     }
 
     private fun opened(link: MeshLink) {
@@ -289,6 +292,8 @@
         if (!known) logger.info { "event=peer_linked peer=${hello.self.address} core=${hello.self.core}" }
         learn(hello.cores + hello.self)
         spread.tellAll(link)
+        // A host that has just started need not wait for the next interval to learn that it lacks the agreed state.
+        link.send(currentPulse())
     }
 
     private fun learn(cores: List<PeerCard>) {
--- a/mesh/src/test/kotlin/io/carawaytrack/mesh/MeshFormationTest.kt
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/MeshFormationTest.kt
@@ -62,6 +62,10 @@
                 ),
             ) { System.nanoTime() / 1_000_000 }
 
+        init {
+            group.next().scheduleAtFixedRate({ mesh.tick() }, 0, MESH_TICK_MILLIS, TimeUnit.MILLISECONDS)
+        }
+
         fun propose(command: FleetCommand): Result<Unit, Failure> {
             val done = CompletableFuture<Result<Unit, Failure>>()
             group.next().execute { mesh.propose(command) { done.complete(it) } }
