Restart dead processes until the deployment of the kill tests is whole

Ruled out: a longer wait (nothing would have started it).

Change: the wait starts what has died each time it looks.

--- a/e2e/src/test/kotlin/io/carawaytrack/e2e/Deployment.kt
+++ b/e2e/src/test/kotlin/io/carawaytrack/e2e/Deployment.kt
@@ -151,7 +151,6 @@
     /** Brings back what the test before has left frozen, ended, faulty or out of service. */
     fun heal() {
         frozen.toList().forEach(::resume)
-        serving.filterNot { processes.getValue(it.name).isAlive }.forEach { start(it) }
         awaitWhole()
         addresses.upstreams.keys.forEach { faults(it, "{}") }
         if (status()?.zonesOut.orEmpty().isNotEmpty()) {
@@ -160,12 +159,18 @@
         awaitServing()
     }
 
+    /** Starts what has died; a process whose port is closed already may still count as alive for a moment. */
+    private fun startDead() = serving.filterNot { processes.getValue(it.name).isAlive }.forEach { start(it) }
+
     /** Waits until every entry serves; one that has just been started may not listen yet. */
     fun awaitServing(): Unit =
         until("entries that serve") { entries.indices.all { entry -> reached { chat(entry) }?.status == OK } }
 
     private fun awaitWhole() {
-        until("every stand-in listening") { addresses.upstreams.keys.all { it.answers() } }
+        until("every stand-in listening") {
+            startDead()
+            addresses.upstreams.keys.all { it.answers() }
+        }
         until("every upstream announced") { announcements().count { !it.leaving } == addresses.upstreams.size }
         val holders = serving.size - addresses.upstreams.size - controlHosts.size
         until("$holders holders") { status()?.holders?.size == holders }
