--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -76,8 +76,6 @@
 ) {
     private val open = LinkedHashSet<CallerConnection>()
 
-    val count: Int get() = open.size
-
     fun listen(address: HostPort): Channel = ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel::class.java)
@@ -118,8 +116,6 @@
         private var sinceMillis = owner.nowMillis()
         private var started = false
 
-        val isWritable: Boolean get() = channel.isWritable
-
         override fun channelActive(context: ChannelHandlerContext) {
             owner.open += this
         }
