Try engines in two lanes by model

Change tried: a quarter of the engines, spread over the zones, answer by the smallest model, the others by the larger ones.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
@@ -23,12 +23,16 @@
 /** Requests beyond its slots that an engine, which orders them by urgency, may have, as a part of the slots. */
 private const val ENGINE_QUEUED_PART = 1.0
 
-/** Describes what a request needs of an upstream. */
+/** Says by which of a route's models a request is to be answered. */
+internal enum class ModelLane { Smallest, Larger }
+
+/** Describes what a request needs of an upstream; it has no [lane] where its caller names the model. */
 internal class UpstreamNeed(
     val pool: CatalogPool,
     val session: String,
     val demand: PromptDemand,
     val model: String,
+    val lane: ModelLane?,
     val avoided: Set<UpstreamId>,
     val mayReturn: Boolean,
 )
@@ -42,6 +46,12 @@
     private val states = LinkedHashMap<UpstreamId, UpstreamState>()
     private val prompts = HashMap<UpstreamId, PromptMemory>()
     private var view = FleetView()
+    private var lanes = Lanes(emptyList(), emptySet())
+
+    private class Lanes(
+        val seats: List<EngineSeat>,
+        val small: Set<UpstreamId>,
+    )
 
     /** Hosts among which an upstream's limits are divided. */
     var hosts = 1
@@ -109,7 +119,9 @@
 
     /** Returns the upstream that is to take the request now, or null while none has room. */
     fun choose(need: UpstreamNeed): UpstreamState? {
-        val free = allowed(need.pool.name, need.session).filter { isFree(it, need.pool) }
+        val serving = allowed(need.pool.name, need.session)
+        val free = serving.filter { isFree(it, need.pool) }
+        val small = need.lane?.let { smallLaneOf(serving) }
         val untried = free.filter { it.upstream.id !in need.avoided }
         val usable =
             untried
@@ -117,9 +129,9 @@
                     !it.isSuspect
                 }.ifEmpty { untried }
                 .ifEmpty { if (need.mayReturn) free else untried }
-        val chosen = cheapest(usable, need) ?: return null
+        val chosen = cheapest(usable, need, small) ?: return null
         if (!chosen.isCold || takeColdStart(chosen, need.pool)) return noteRead(chosen, need)
-        return cheapest(usable.filter { !it.isCold }, need)?.let { noteRead(it, need) }
+        return cheapest(usable.filter { !it.isCold }, need, small)?.let { noteRead(it, need) }
     }
 
     private fun takeColdStart(
@@ -141,11 +153,26 @@
     private fun cheapest(
         usable: List<UpstreamState>,
         need: UpstreamNeed,
-    ): UpstreamState? = place(usable.map { candidate(it, need) }, need.demand)?.let { states[it.id] }
+        small: Set<UpstreamId>?,
+    ): UpstreamState? = place(usable.map { candidate(it, need, small) }, need.demand)?.let { states[it.id] }
+
+    /** Returns the engines of [serving] that answer by the smallest model. */
+    private fun smallLaneOf(serving: List<UpstreamState>): Set<UpstreamId> {
+        val seats = serving.map { EngineSeat(it.upstream.id, it.upstream.zone) }
+        if (seats != lanes.seats) lanes = Lanes(seats, smallModelLane(seats))
+        return lanes.small
+    }
+
+    private fun isInLane(
+        state: UpstreamState,
+        need: UpstreamNeed,
+        small: Set<UpstreamId>?,
+    ): Boolean = small.isNullOrEmpty() || (state.upstream.id in small) == (need.lane == ModelLane.Smallest)
 
     private fun candidate(
         state: UpstreamState,
         need: UpstreamNeed,
+        small: Set<UpstreamId>?,
     ) = Candidate(
         id = state.upstream.id,
         sameZone = state.upstream.zone == zone,
@@ -153,6 +180,7 @@
         slots = state.upstream.slots,
         engine = need.pool.engine != null,
         heldParts = prompts[state.upstream.id]?.heldOf(need.demand, need.model).orEmpty(),
+        inLane = isInLane(state, need, small),
         failureShare = state.failureShare,
         silentMillis = nowMillis() - state.heardAtMillis,
     )
