--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatch.kt
@@ -108,7 +108,6 @@
                 session = request.session,
                 demand = request.demand,
                 model = model.orEmpty(),
-                lane = laneOf(exchange),
                 avoided = exchange.avoided,
                 mayReturn = exchange.hasNotRun,
             )
@@ -117,12 +116,6 @@
         return true
     }
 
-    private fun laneOf(exchange: Exchange): ModelLane? = when {
-        !exchange.request.anyModel -> null
-        exchange.modelIndex == 0 -> ModelLane.Smallest
-        else -> ModelLane.Larger
-    }
-
     override fun send(
         exchange: Exchange,
         target: UpstreamState,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Placement.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Placement.kt
@@ -30,9 +30,6 @@
 /** Cost of an answer from another availability zone, in milliseconds: the way there and the bytes it takes. */
 private const val OTHER_ZONE_MILLIS = 14.0
 
-/** Cost of an engine of the other lane: about what an answer by the smallest model loses beside the largest one's. */
-private const val OTHER_LANE_MILLIS = 250.0
-
 /** Cost of an upstream that failed all of its recent requests, in milliseconds. */
 private const val FAILING_MILLIS = 6_000.0
 
@@ -51,7 +48,6 @@
  * @property heldParts identifiers of prompt parts that it holds
  * @property failureShare share of its recent requests that failed
  * @property silentMillis time since its last announcement
- * @property inLane whether the engine answers by the model that the request asks for
  */
 public data class Candidate(
     val id: UpstreamId,
@@ -62,7 +58,6 @@
     val heldParts: Set<String> = emptySet(),
     val failureShare: Double = 0.0,
     val silentMillis: Long = 0,
-    val inLane: Boolean = true,
 )
 
 /** Returns the cheapest of [candidates] for [demand], or null when there is none. */
@@ -80,7 +75,7 @@
     subject: String,
     candidates: List<Candidate>,
 ): UpstreamId? = candidates
-    .filter { it.engine && it.inLane }
+    .filter { it.engine }
     .maxByOrNull { Hashing.komihash5_0().hashCharsToLong(subject + '/' + it.id.value) }
     ?.id
 
@@ -89,12 +84,11 @@
     isHome: Boolean,
 ): Double {
     val zoneMillis = if (sameZone) 0.0 else OTHER_ZONE_MILLIS
-    val laneMillis = if (inLane) 0.0 else OTHER_LANE_MILLIS
     val failingMillis = failureShare * FAILING_MILLIS
     val silenceMillis = maxOf(0, silentMillis - USUAL_SILENCE_MILLIS) / MILLIS_PER_SECOND * SILENT_SECOND_MILLIS
     val waitMillis = if (engine) engineWaitMillis() else serviceWaitMillis()
     val unheldTokens = if (isHome) 0 else demand.sharedParts.filter { it.id !in heldParts }.sumOf { it.tokens }
-    return zoneMillis + laneMillis + failingMillis + silenceMillis + waitMillis + unheldTokens * READ_TOKEN_MILLIS
+    return zoneMillis + failingMillis + silenceMillis + waitMillis + unheldTokens * READ_TOKEN_MILLIS
 }
 
 private fun Candidate.engineWaitMillis(): Double {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
@@ -23,16 +23,12 @@
 /** Requests beyond its slots that an engine, which orders them by urgency, may have, as a part of the slots. */
 private const val ENGINE_QUEUED_PART = 1.0
 
-/** Says by which of a route's models a request is to be answered. */
-internal enum class ModelLane { Smallest, Larger }
-
-/** Describes what a request needs of an upstream; it has no [lane] where its caller names the model. */
+/** Describes what a request needs of an upstream. */
 internal class UpstreamNeed(
     val pool: CatalogPool,
     val session: String,
     val demand: PromptDemand,
     val model: String,
-    val lane: ModelLane?,
     val avoided: Set<UpstreamId>,
     val mayReturn: Boolean,
 )
@@ -46,12 +42,6 @@
     private val states = LinkedHashMap<UpstreamId, UpstreamState>()
     private val prompts = HashMap<UpstreamId, PromptMemory>()
     private var view = FleetView()
-    private var lanes = Lanes(emptyList(), emptySet())
-
-    private class Lanes(
-        val seats: List<EngineSeat>,
-        val small: Set<UpstreamId>,
-    )
 
     /** Hosts among which an upstream's limits are divided. */
     var hosts = 1
@@ -119,9 +109,7 @@
 
     /** Returns the upstream that is to take the request now, or null while none has room. */
     fun choose(need: UpstreamNeed): UpstreamState? {
-        val serving = allowed(need.pool.name, need.session)
-        val free = serving.filter { isFree(it, need.pool) }
-        val small = need.lane?.let { smallLaneOf(serving) }
+        val free = allowed(need.pool.name, need.session).filter { isFree(it, need.pool) }
         val untried = free.filter { it.upstream.id !in need.avoided }
         val usable =
             untried
@@ -129,9 +117,9 @@
                     !it.isSuspect
                 }.ifEmpty { untried }
                 .ifEmpty { if (need.mayReturn) free else untried }
-        val chosen = cheapest(usable, need, small) ?: return null
+        val chosen = cheapest(usable, need) ?: return null
         if (!chosen.isCold || takeColdStart(chosen, need.pool)) return noteRead(chosen, need)
-        return cheapest(usable.filter { !it.isCold }, need, small)?.let { noteRead(it, need) }
+        return cheapest(usable.filter { !it.isCold }, need)?.let { noteRead(it, need) }
     }
 
     private fun takeColdStart(
@@ -153,26 +141,11 @@
     private fun cheapest(
         usable: List<UpstreamState>,
         need: UpstreamNeed,
-        small: Set<UpstreamId>?,
-    ): UpstreamState? = place(usable.map { candidate(it, need, small) }, need.demand)?.let { states[it.id] }
-
-    /** Returns the engines of [serving] that answer by the smallest model. */
-    private fun smallLaneOf(serving: List<UpstreamState>): Set<UpstreamId> {
-        val seats = serving.map { EngineSeat(it.upstream.id, it.upstream.zone) }
-        if (seats != lanes.seats) lanes = Lanes(seats, smallModelLane(seats))
-        return lanes.small
-    }
-
-    private fun isInLane(
-        state: UpstreamState,
-        need: UpstreamNeed,
-        small: Set<UpstreamId>?,
-    ): Boolean = small.isNullOrEmpty() || (state.upstream.id in small) == (need.lane == ModelLane.Smallest)
+    ): UpstreamState? = place(usable.map { candidate(it, need) }, need.demand)?.let { states[it.id] }
 
     private fun candidate(
         state: UpstreamState,
         need: UpstreamNeed,
-        small: Set<UpstreamId>?,
     ) = Candidate(
         id = state.upstream.id,
         sameZone = state.upstream.zone == zone,
@@ -180,7 +153,6 @@
         slots = state.upstream.slots,
         engine = need.pool.engine != null,
         heldParts = prompts[state.upstream.id]?.heldOf(need.demand, need.model).orEmpty(),
-        inLane = isInLane(state, need, small),
         failureShare = state.failureShare,
         silentMillis = nowMillis() - state.heardAtMillis,
     )
