Write the lines on links and members with fields, and explain a request from logs

Cause: lines of module mesh carried their fields in the text, attempts were written only when they failed, and nothing read the logs of several hosts together.

--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/Commands.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/Commands.kt
@@ -26,6 +26,8 @@
 import picocli.CommandLine.Option
 import picocli.CommandLine.Parameters
 import picocli.CommandLine.Spec
+import java.io.IOException
+import java.nio.file.Files
 import java.nio.file.Path
 import java.security.MessageDigest
 
@@ -155,6 +157,29 @@
     }
 }
 
+@Command(
+    name = "explain",
+    description = ["Tells what logs say of one request, in order, and what they don't say; * marks its own lines."],
+)
+internal class ExplainCommand : Action {
+    @Parameters(index = "0", paramLabel = "ID", description = ["The identifier of the request's attempt."])
+    lateinit var requestId: String
+
+    @Parameters(index = "1", arity = "0..*", paramLabel = "FILE", description = ["Logs; the standard input if none."])
+    var files: List<Path> = emptyList()
+
+    override suspend fun run(session: Session): Result<Report, CtlError> {
+        val lines =
+            try {
+                if (files.isEmpty()) session.surroundings.readInput().lines() else files.flatMap(Files::readAllLines)
+            } catch (e: IOException) {
+                return usage("expected readable logs, got $e")
+            }
+        val story = explain(requestId, lines.asSequence())
+        return Ok(Report(story, storyText(story)))
+    }
+}
+
 /** Holds a script for the shell. */
 @Serializable
 internal data class CompletionScript(
--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/Main.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/Main.kt
@@ -39,6 +39,7 @@
         BillsCommand::class,
         MemberCommand::class,
         KeyDigestCommand::class,
+        ExplainCommand::class,
         TopCommand::class,
         CompletionCommand::class,
     ],
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatch.kt
@@ -81,6 +81,16 @@
         line.add(exchange).forEach { it.fail(busy(it)) }
     }
 
+    /** Writes where an attempt goes: of every further one, and of the first ones of sampled requests. */
+    private fun notePlaced(
+        exchange: Exchange,
+        model: String?,
+    ) {
+        if (exchange.tries == 1 && !log.isSampled(exchange.request.id)) return
+        val detail = mapOf("model" to model, "attempt" to exchange.tries, "waitedMillis" to exchange.waitedMillis)
+        noted(exchange, "request_placed", detail)
+    }
+
     private fun nobody(exchange: Exchange) = when {
         exchange.hasNotRun -> ErrorKind.NoHealthyUpstream.notRun(retryAfterMillis = NOBODY_RETRY_MILLIS)
         else -> lost(exchange)
@@ -113,6 +123,7 @@
             )
         val target = upstreams.choose(need) ?: return false
         exchange.sendTo(target, model)
+        notePlaced(exchange, model)
         return true
     }
 
@@ -151,7 +162,10 @@
         if (confidence == null || !request.anyModel || exchange.runs >= request.route.maxAttempts) return null
         val onTimeLeftMillis = exchange.onTimeUntilMillis - nowMillis()
         val larger = models.larger(request.route, exchange.modelIndex, request.demand, confidence, onTimeLeftMillis)
-        return larger?.takeIf { exchange.pool?.let { pool -> budgets.tryEscalation(pool.name) } == true }
+        if (larger == null || exchange.pool?.let { budgets.tryEscalation(it.name) } != true) return null
+        val detail = mapOf("confidence" to confidence, "toModelIndex" to larger, "onTimeLeftMillis" to onTimeLeftMillis)
+        noted(exchange, "answer_dropped", detail)
+        return larger
     }
 
     override fun noted(
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -61,6 +61,7 @@
         "hasNotRun" to exchange.hasNotRun,
         "tookMillis" to nowMillis - exchange.request.arrivedAtMillis,
         "firstByteMillis" to exchange.firstByteMillis,
+        "waitedMillis" to exchange.waitedMillis,
         "tries" to exchange.tries,
     )
 }
@@ -138,6 +139,10 @@
     var tries = 0
         private set
 
+    /** Time for which it has waited for an upstream with room, over all attempts. */
+    var waitedMillis = 0L
+        private set
+
     /** Upstreams that this request is not sent to again. */
     val avoided = HashSet<UpstreamId>()
 
@@ -185,6 +190,7 @@
         attempt = next
         response = null
         sentAtMillis = now
+        waitedMillis += now - waitingSinceMillis
         lastContentMillis = now
         tries++
         runs++
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestLog.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestLog.kt
@@ -4,8 +4,8 @@
  */
 package io.carawaytrack.gateway
 
+import io.carawaytrack.telemetry.event
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.github.oshai.kotlinlogging.Level
 import java.io.IOException
 
 private val logger = KotlinLogging.logger {}
@@ -62,14 +62,11 @@
     }
 }
 
-/** Writes one line for [event]; fields without a value are left out. */
+/** Writes one line for [event] that concerns no single request. */
 internal fun logEvent(
     event: String,
     fields: Map<String, Any?>,
-): Unit = logger.at(Level.INFO) {
-    message = event
-    payload = fields.filterValues { it != null }
-}
+): Unit = logger.event(event, fields)
 
 /** Writes of a [cause] that ended a connection of the given [side], unless the network brought it about. */
 internal fun logUnexpected(
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -34,7 +34,9 @@
 import io.carawaytrack.storage.folderIdentity
 import io.carawaytrack.storage.initialiseFolder
 import io.carawaytrack.storage.openFileDisk
+import io.carawaytrack.telemetry.event
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -198,7 +200,11 @@
         val status = open.status()
         if (status.node != node || !status.holdsLog() || askedToRenew) return
         askedToRenew = true
-        logger.warn { "event=replica_renewed node=$node reason=\"removed from the group\"" }
+        logger.event(
+            "replica_renewed",
+            mapOf("replica" to node.value, "reason" to "removed from the group"),
+            Level.WARN,
+        )
         replica = null
         storage.execute {
             open.close()
@@ -218,8 +224,11 @@
         scope.launch {
             open
                 .changeMembers(change)
-                .onSuccess { logger.info { "event=members_changed change=$change" } }
-                .onFailure { logger.debug { "event=members_unchanged change=$change reason=\"${it.detail}\"" } }
+                .onSuccess { logger.event("members_changed", mapOf("change" to change.toString())) }
+                .onFailure { failure ->
+                    val fields = mapOf("change" to change.toString(), "reason" to failure.detail)
+                    logger.event("members_unchanged", fields, Level.DEBUG)
+                }
             setup.onLoop { changing = false }
         }
     }
@@ -234,7 +243,8 @@
 
     private fun withDisk(use: (Disk) -> Result<Unit, StorageFailure>) {
         openFileDisk(setup.folder).andThen(use).onFailure { failure ->
-            logger.warn { "event=storage_failed folder=${setup.folder} reason=\"${failure.detail}\"" }
+            val fields = mapOf("folder" to setup.folder.toString(), "reason" to failure.detail)
+            logger.event("storage_failed", fields, Level.WARN)
             reopenLater()
         }
     }
@@ -257,7 +267,7 @@
         val identity = FolderIdentity(CLUSTER_ID, node, incarnation)
         return clearFolder(disk).andThen { initialiseFolder(disk, identity) }.map {
             if (founding) disk.replace(FOUNDER_FILE, ByteArray(0))
-            logger.info { "event=folder_initialised node=$node founding=$founding" }
+            logger.event("folder_initialised", mapOf("replica" to node.value, "founding" to founding))
             openReplica(disk, identity)
         }
     }
@@ -278,17 +288,18 @@
                 onHalt = ::halted,
                 settings = replicaSettings,
             ).mapError { failure ->
-                logger.warn { "event=replica_not_opened node=${identity.node} reason=\"${failure.detail}\"" }
+                val fields = mapOf("replica" to identity.node.value, "reason" to failure.detail)
+                logger.event("replica_not_opened", fields, Level.WARN)
                 disk.close()
                 reopenLater()
             }.getOrElse { return }
-        logger.info { "event=replica_opened node=${identity.node} founder=$founder" }
+        logger.event("replica_opened", mapOf("replica" to identity.node.value, "founder" to founder))
     }
 
     /** Opens the folder again after a refusal by the disk; until then this host neither votes nor acknowledges. */
     private fun halted(failure: Failure) {
         if (failure.kind == ErrorKind.ShuttingDown) return
-        logger.warn { "event=replica_halted reason=\"${failure.detail}\"" }
+        logger.event("replica_halted", mapOf("reason" to failure.detail), Level.WARN)
         val halted = replica
         replica = null
         storage.schedule(
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Links.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Links.kt
@@ -5,7 +5,9 @@
 package io.carawaytrack.mesh
 
 import io.carawaytrack.model.HostPort
+import io.carawaytrack.telemetry.event
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.bootstrap.Bootstrap
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBuf
@@ -127,7 +129,8 @@
             val bytes = ByteArray(frame.readableBytes()).also(frame::readBytes)
             val message = decodeMeshMessage(bytes)
             if (message == null) {
-                logger.warn { "event=mesh_frame_unreadable peer=${link.peer?.address} bytes=${bytes.size}" }
+                val fields = mapOf("peer" to link.peer?.address?.toString(), "bytes" to bytes.size)
+                logger.event("mesh_frame_unreadable", fields, Level.WARN)
             } else {
                 events.received(link, message)
             }
@@ -142,7 +145,7 @@
             context: ChannelHandlerContext,
             cause: Throwable,
         ) {
-            if (cause !is IOException) logger.warn(cause) { "event=mesh_link_failed peer=${link?.peer?.address}" }
+            if (cause !is IOException) logger.warn(cause) { "the link to ${link?.peer?.address} failed" }
             context.close()
         }
     }
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -21,7 +21,9 @@
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HostPort
 import io.carawaytrack.model.notRun
+import io.carawaytrack.telemetry.event
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import io.netty.channel.Channel
 import io.netty.channel.EventLoopGroup
 import java.nio.file.Path
@@ -179,7 +181,8 @@
     private fun recall(recent: Recent) {
         adopt(recent.view)
         recent.upstreams.forEach { spread.recall(it) }
-        logger.info { "event=recent_state_recalled index=${recent.view.index} upstreams=${recent.upstreams.size}" }
+        val fields = mapOf("index" to recent.view.index, "upstreams" to recent.upstreams.size)
+        logger.event("recent_state_recalled", fields)
     }
 
     private fun setup(folder: Path) = CoreSetup(
@@ -227,7 +230,8 @@
     override fun tick() {
         val now = nowMillis()
         open.filter { now - it.heardAtMillis > LINK_SILENCE_MILLIS }.forEach { link ->
-            logger.warn { "event=link_silent peer=${link.peer?.address} dialled=${link.dialled}" }
+            val fields = mapOf("peer" to link.peer?.address?.toString(), "dialled" to link.dialled?.toString())
+            logger.event("link_silent", fields, Level.WARN)
             link.close()
         }
         if (now - lastPulseMillis >= PULSE_MILLIS) pulse()
@@ -259,7 +263,7 @@
     private fun closed(link: MeshLink) {
         open -= link
         link.peer?.let { peer ->
-            if (linkTo(peer.address) == null) logger.info { "event=peer_lost peer=${peer.address} core=${peer.core}" }
+            if (linkTo(peer.address) == null) logger.event("peer_lost", fieldsOf(peer))
         }
     }
 
@@ -289,7 +293,7 @@
         val known = linkTo(hello.self.address) != null
         link.peer = hello.self
         peers.met(hello.self)
-        if (!known) logger.info { "event=peer_linked peer=${hello.self.address} core=${hello.self.core}" }
+        if (!known) logger.event("peer_linked", fieldsOf(hello.self))
         learn(hello.cores + hello.self)
         spread.tellAll(link)
         // A host that has just started need not wait for the next interval to learn that it lacks the agreed state.
@@ -341,3 +345,5 @@
 private val noCopy = ErrorKind.NotLeader.notRun("this host keeps no copy of the agreed state")
 
 private fun Result<ByteArray, Failure>.toUnit(): Result<Unit, Failure> = map { }
+
+private fun fieldsOf(peer: PeerCard): Map<String, Any?> = mapOf("peer" to peer.address.toString(), "core" to peer.core)
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/RecentState.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/RecentState.kt
@@ -11,7 +11,9 @@
 import io.carawaytrack.fleet.KnownUpstream
 import io.carawaytrack.model.UpstreamId
 import io.carawaytrack.storage.checksum
+import io.carawaytrack.telemetry.event
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.github.oshai.kotlinlogging.Level
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
@@ -82,7 +84,7 @@
         }
         Files.move(folder.resolve(TEMPORARY_FILE), folder.resolve(RECENT_FILE), StandardCopyOption.REPLACE_EXISTING)
     } catch (failure: IOException) {
-        logger.warn { "event=recent_state_not_saved reason=\"$failure\"" }
+        logger.event("recent_state_not_saved", mapOf("reason" to failure.toString()), Level.WARN)
     }
 }
 
@@ -102,7 +104,7 @@
         val recent = recentCbor.decodeFromByteArray<Recent>(bytes.copyOfRange(Long.SIZE_BYTES, bytes.size))
         Recent(recent.view, recent.upstreams.map { it.copy(coldMillis = maxOf(it.coldMillis, DOUBTED_MILLIS)) })
     } catch (otherVersion: IllegalArgumentException) {
-        logger.warn { "event=recent_state_unreadable reason=\"$otherVersion\"" }
+        logger.event("recent_state_unreadable", mapOf("reason" to otherVersion.toString()), Level.WARN)
         null
     }
 }
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/JsonLogs.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/JsonLogs.kt
@@ -64,6 +64,19 @@
     message: () -> String,
 ): Unit = log(Level.ERROR, request, cause, message)
 
+/**
+ * Logs that [event] happened, with [fields] as fields of the line; those without a value are left out. The names of
+ * events are stable: docs/OPERATIONS.md lists them.
+ */
+public fun KLogger.event(
+    event: String,
+    fields: Map<String, Any?> = emptyMap(),
+    level: Level = Level.INFO,
+): Unit = at(level) {
+    message = event
+    payload = fields.filterValues { it != null }
+}
+
 private fun KLogger.log(
     level: Level,
     request: RequestId,
