--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -280,7 +280,7 @@
 private fun fieldsOf(upstream: FleetUpstream): Map<String, Any?> = mapOf(
     "upstream" to upstream.id.value,
     "pool" to upstream.pool.value,
-    "availabilityZone" to upstream.zone.value,
+    "upstreamZone" to upstream.zone.value,
     "version" to upstream.version,
     "leaving" to upstream.leaving,
     "coldMillis" to upstream.coldMillis,
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/JsonLogs.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/JsonLogs.kt
@@ -14,10 +14,6 @@
 import io.carawaytrack.model.ZoneName
 import io.github.oshai.kotlinlogging.KLogger
 import io.github.oshai.kotlinlogging.Level
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
-import net.logstash.logback.encoder.LogstashEncoder
-import net.logstash.logback.fieldnames.LogstashFieldNames
 import org.slf4j.Logger
 import org.slf4j.LoggerFactory
 import ch.qos.logback.classic.Level as LogbackLevel
@@ -34,7 +30,7 @@
     sink: (String) -> Unit = System.err::println,
 ): AutoCloseable {
     val context = LoggerFactory.getILoggerFactory() as LoggerContext
-    val lines = LineAppender(encoder(context, Origin(node, role, zone)), sink)
+    val lines = LineAppender(Origin(node, role, zone), sink)
     val queue = queue(context, lines)
     val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
     root.detachAndStopAllAppenders()
@@ -89,37 +85,9 @@
 }
 
 private const val REQUEST_ID = "requestId"
-private const val IGNORED = "[ignore]"
 private const val QUEUED_LINES = 4_096
 private const val CLOSE_TIMEOUT_MILLIS = 5_000
 
-private fun encoder(
-    context: LoggerContext,
-    origin: Origin,
-): LogstashEncoder {
-    val fields =
-        buildJsonObject {
-            put("node", origin.node.value)
-            put("role", origin.role.name)
-            put("availabilityZone", origin.zone.value)
-        }
-    val encoder = LogstashEncoder()
-    encoder.context = context
-    encoder.fieldNames = fieldNames()
-    encoder.customFields = fields.toString()
-    encoder.start()
-    return encoder
-}
-
-private fun fieldNames() = LogstashFieldNames().apply {
-    timestamp = "timestamp"
-    logger = "logger"
-    thread = "thread"
-    stackTrace = "stackTrace"
-    version = IGNORED
-    levelValue = IGNORED
-}
-
 private fun queue(
     context: LoggerContext,
     lines: LineAppender,
@@ -137,8 +105,8 @@
 }
 
 private class LineAppender(
-    private val encoder: LogstashEncoder,
+    private val origin: Origin,
     private val sink: (String) -> Unit,
 ) : AppenderBase<ILoggingEvent>() {
-    override fun append(event: ILoggingEvent) = sink(encoder.encode(event).decodeToString().trimEnd())
+    override fun append(event: ILoggingEvent) = sink(jsonLine(event, origin))
 }
