--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
@@ -12,10 +12,10 @@
 import io.carawaytrack.fleet.CatalogRoute
 
 /** Opinion, 0 to 100, from which an answer is taken as it is. */
-private const val CONFIDENT = 85
+private const val CONFIDENT = 70
 
-/** Opinion from which an answer is more likely good than not. */
-private const val LIKELY = 50
+/** Opinion from which an answer is taken where another one is dear. */
+private const val CONFIDENT_WHERE_DEAR = 35
 
 /** Priced tokens for each generated one from which a second answer is dear: a long prompt for a short answer. */
 private const val DEAR_TOKENS_PER_ANSWER_TOKEN = 12.0
@@ -92,7 +92,7 @@
         val answerTokens = opinionOf(route).answerTokens
         if (answerTokens == 0.0) return CONFIDENT
         val priced = demand.promptTokens * PROMPT_TOKEN_PRICE + answerTokens
-        return if (priced / answerTokens >= DEAR_TOKENS_PER_ANSWER_TOKEN) LIKELY else CONFIDENT
+        return if (priced / answerTokens >= DEAR_TOKENS_PER_ANSWER_TOKEN) CONFIDENT_WHERE_DEAR else CONFIDENT
     }
 
     private fun opinionOf(route: CatalogRoute) = opinions.getOrPut(route.name, ::RouteOpinion)
