Judge a slow version by attempts that have not ended

Only ended answers were timed; those of the slow version hardly ended, so 20 quick ones looked ordinary (log line rollout_judged: Completed, 17 good answers in 364 ms against 245 ms on the shortest route), the roll-out was completed and the old version stopped. Change: attempts that are unanswered after an ordinary answer's time, and those left then, count with the time they have taken so far; a roll-out is completed only if more attempts of the new version ended well than are unfinished. Tests that failed first: two cases of the verdict and a load of streams 8 times as slow (RolloutPolicyTest).

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
@@ -36,7 +36,7 @@
 /** Share of failures beyond that of the old version from which the new one is bad. */
 private const val BAD_FAILURE_SHARE = 0.12
 
-/** Answers of one kind below which the new version is never judged bad by their time. */
+/** Attempts on one route below which the new version is never judged bad by their time. */
 private const val LEAST_TIMED = 5
 
 /** Factor on the old version's mean time from which the new one is bad. */
@@ -45,7 +45,8 @@
 /**
  * Counts what was seen of one version on one route since a roll-out's order; tallies of several hosts add up.
  *
- * @property timeMillis sum of the times to the first byte of good answers
+ * @property unfinished attempts that are still unanswered after an ordinary answer's time, or were left so
+ * @property timeMillis sum of the times of good answers, and of the unfinished attempts so far
  */
 @Serializable
 public data class RouteTally(
@@ -53,12 +54,20 @@
     val good: Int = 0,
     val failed: Int = 0,
     val timeMillis: Long = 0,
+    val unfinished: Int = 0,
 ) {
+    /** Attempts of which a time is known, or a time that it exceeds. */
+    public val timed: Int get() = good + unfinished
+
+    /** Mean time of an attempt in milliseconds; zero before there is one. */
+    public val meanMillis: Double get() = if (timed == 0) 0.0 else timeMillis.toDouble() / timed
+
     /** Adds what another host saw on the same route. */
     public operator fun plus(other: RouteTally): RouteTally = copy(
         good = good + other.good,
         failed = failed + other.failed,
         timeMillis = timeMillis + other.timeMillis,
+        unfinished = unfinished + other.unfinished,
     )
 }
 
@@ -104,8 +113,9 @@
     return when {
         tally.isBad() -> FleetRolloutPhase.RolledBack
         !due -> null
-        newVersionReady && tally.new.sumOf { it.good } > 0 -> FleetRolloutPhase.Completed
-        // Nothing good was seen of it by the end: keeping the old version is the safe side.
+        newVersionReady && tally.new.sumOf { it.good } > tally.new.sumOf { it.unfinished } ->
+            FleetRolloutPhase.Completed
+        // Too little good was seen of it by the end: keeping the old version is the safe side.
         else -> FleetRolloutPhase.RolledBack
     }
 }
@@ -128,6 +138,6 @@
 private fun RouteTally.failureShare(): Double = failed.toDouble() / maxOf(1, good + failed)
 
 private fun RouteTally.isSlow(old: RouteTally): Boolean {
-    if (good < LEAST_TIMED || old.good < LEAST_TIMED) return false
-    return timeMillis.toDouble() / good > BAD_TIME_FACTOR * old.timeMillis / old.good
+    if (timed < LEAST_TIMED || old.good < LEAST_TIMED) return false
+    return meanMillis > BAD_TIME_FACTOR * old.meanMillis
 }
--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
@@ -73,6 +73,20 @@
             true,
             FleetRolloutPhase.RolledBack,
         ),
+        Case(
+            "goes back when attempts go unanswered for several times as long",
+            tally(new = RouteTally("r", 1, 0, 300, unfinished = 5).copy(timeMillis = 3_000)),
+            6_000,
+            true,
+            FleetRolloutPhase.RolledBack,
+        ),
+        Case(
+            "goes back at its end when most attempts are unfinished",
+            tally(new = RouteTally("r", 1, 0, 100, unfinished = 2)),
+            23_000,
+            true,
+            FleetRolloutPhase.RolledBack,
+        ),
         Case("goes back at its end when nothing was seen", RolloutTally(1), 23_000, true, FleetRolloutPhase.RolledBack),
         Case(
             "goes back at its end when the version is gone",
@@ -110,4 +124,50 @@
             expectThat(exposed.toDouble()).isLessThanOrEqualTo(all * bounds.exposureShare + bounds.exposureSlack)
         }
     }
+
+    /** Plays 12 s of a version whose streams take 8 times as long, so that hardly any has ended by the end. */
+    @Test
+    fun `a version that is too slow to end its answers goes back before two thirds of its roll-out`() {
+        val short = rollout.copy(durationMillis = 12_000)
+        listOf(1L, 2L, 3L, 4L, 5L).forEach { seed ->
+            val random = Random(seed)
+            val started = ArrayList<Triple<Long, Long, Boolean>>()
+            var judgedAtMillis = Long.MAX_VALUE
+            for (millis in 0L until 12_000 step 30) {
+                val new = random.nextDouble() < short.shareAt(millis, RolloutBounds())
+                val tookMillis = 500 + random.nextLong(2_000)
+                started += Triple(millis, if (new) tookMillis * 8 else tookMillis, new)
+                val phase = short.verdict(seenAt(millis, started), millis, newVersionReady = true)
+                if (phase != null) judgedAtMillis = minOf(judgedAtMillis, millis)
+                if (phase != null) expectThat(phase).isEqualTo(FleetRolloutPhase.RolledBack)
+                if (phase != null) break
+            }
+            expectThat(judgedAtMillis).isLessThanOrEqualTo(8_000)
+        }
+    }
+
+    private fun seenAt(
+        nowMillis: Long,
+        started: List<Triple<Long, Long, Boolean>>,
+    ): RolloutTally {
+        val (new, old) = started.partition { it.third }
+        val ended = old.filter { it.first + it.second <= nowMillis }
+        val ordinaryMillis = if (ended.isEmpty()) 0.0 else ended.sumOf { it.second }.toDouble() / ended.size
+        return RolloutTally(
+            1,
+            listOf(tallyOf(old, nowMillis, ordinaryMillis)),
+            listOf(tallyOf(new, nowMillis, ordinaryMillis)),
+        )
+    }
+
+    private fun tallyOf(
+        attempts: List<Triple<Long, Long, Boolean>>,
+        nowMillis: Long,
+        ordinaryMillis: Double,
+    ): RouteTally {
+        val (ended, open) = attempts.partition { it.first + it.second <= nowMillis }
+        val late = open.filter { nowMillis - it.first > ordinaryMillis }
+        val timeMillis = ended.sumOf { it.second } + late.sumOf { nowMillis - it.first }
+        return RouteTally("r", good = ended.size, timeMillis = timeMillis, unfinished = late.size)
+    }
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatch.kt
@@ -6,6 +6,7 @@
 
 import io.carawaytrack.fleet.CatalogPool
 import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.fleet.RolloutTally
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Execution
 import io.carawaytrack.model.Failure
@@ -137,11 +138,25 @@
         exchange: Exchange,
         upstream: FleetUpstream,
         good: Boolean,
-        firstByteMillis: Long,
+        tookMillis: Long,
     ) {
         meters.attemptEnded(upstream, good)
         val rollout = upstreams.rolloutOf(upstream.pool) ?: return
-        rollouts.observed(rollout, exchange.request.route.name, upstream.version, good, firstByteMillis)
+        rollouts.observed(rollout, exchange.request.route.name, upstream.version, good, tookMillis)
+    }
+
+    override fun left(exchange: Exchange) {
+        openAttempt(exchange)?.let(rollouts::left)
+    }
+
+    /** Returns what has been seen of each running roll-out up to now. */
+    fun tallies(): List<RolloutTally> = rollouts.tallies(active.mapNotNull(::openAttempt))
+
+    private fun openAttempt(exchange: Exchange): OpenAttempt? {
+        val upstream = exchange.target?.upstream ?: return null
+        val rollout = upstreams.rolloutOf(upstream.pool) ?: return null
+        val elapsedMillis = nowMillis() - exchange.sentAtMillis
+        return OpenAttempt(rollout, exchange.request.route.name, upstream.version, elapsedMillis)
     }
 
     override fun answeredBy(
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -85,14 +85,17 @@
     /** Takes one repeat from the budget of the route's pool. */
     fun mayRepeat(exchange: Exchange): Boolean
 
-    /** Counts what an attempt showed of its upstream's version. */
+    /** Counts what an attempt showed of its upstream's version, and how long it took. */
     fun observed(
         exchange: Exchange,
         upstream: FleetUpstream,
         good: Boolean,
-        firstByteMillis: Long,
+        tookMillis: Long,
     )
 
+    /** Takes in that the exchange leaves its attempt, which has not ended. */
+    fun left(exchange: Exchange)
+
     /** Takes in an answer's head, for the model that gave it. */
     fun answeredBy(
         exchange: Exchange,
@@ -158,7 +161,8 @@
     private val route get() = request.route
     private val relay = AnswerRelay(request, caller, host.vocabulary)
     private var attempt: Attempt? = null
-    private var sentAtMillis = 0L
+    var sentAtMillis = 0L
+        private set
     private var lastContentMillis = 0L
     private var response: HttpResponse? = null
     private var callerLeft = false
@@ -209,6 +213,7 @@
     }
 
     private fun timeOut() {
+        host.left(this)
         release(cancel = true)
         val kind = if (hasNotRun) ErrorKind.PoolExhausted else ErrorKind.UpstreamTimeout
         fail(Failure(kind, execution, "no answer within ${request.endsAtMillis - request.arrivedAtMillis} ms"))
@@ -232,6 +237,7 @@
         if (!mayGoOn()) return
         host.noted(this, "upstream_silent", mapOf("owedMillis" to left.owedMillis))
         left.failed()
+        host.left(this)
         avoided += left.upstream.id
         release(cancel = true)
         waitForUpstream()
@@ -393,6 +399,7 @@
     }
 
     private fun abandon() {
+        host.left(this)
         release(cancel = true)
         end(ErrorKind.CallerGone.status, ErrorKind.CallerGone)
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -185,7 +185,7 @@
         upstreams.hosts = maxOf(1, hosts)
     }
 
-    override fun tallies(): List<RolloutTally> = rollouts.tallies()
+    override fun tallies(): List<RolloutTally> = dispatch.tallies()
 
     override fun serves(
         pool: PoolName,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RolloutWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RolloutWatch.kt
@@ -10,6 +10,14 @@
 import io.carawaytrack.fleet.RouteTally
 import io.carawaytrack.fleet.shareAt
 
+/** An attempt that has not ended: on which route and version, and for how long. */
+internal class OpenAttempt(
+    val rollout: FleetRollout,
+    val route: String,
+    val version: String,
+    val elapsedMillis: Long,
+)
+
 internal class RolloutWatch(
     private val bounds: RolloutBounds,
     private val nowMillis: () -> Long,
@@ -19,6 +27,15 @@
     ) {
         val old = HashMap<String, RouteTally>()
         val new = HashMap<String, RouteTally>()
+
+        /** Time on [route] after which an attempt without an end tells something: an ordinary answer's. */
+        fun ordinaryMillis(route: String): Double = old[route]?.meanMillis ?: 0.0
+
+        fun withOpen(attempts: List<OpenAttempt>): RolloutTally {
+            val late = attempts.filter { it.elapsedMillis > ordinaryMillis(it.route) }
+            val (onNew, onOld) = late.partition { it.version == it.rollout.target }
+            return RolloutTally(0, old.values + onOld.map(::unfinished), new.values + onNew.map(::unfinished))
+        }
     }
 
     private val watched = HashMap<Long, Watched>()
@@ -45,23 +62,26 @@
         route: String,
         version: String,
         good: Boolean,
-        firstByteMillis: Long,
+        tookMillis: Long,
     ) {
         val tallies = watched[rollout.order]?.let { if (version == rollout.target) it.new else it.old } ?: return
-        val seen =
-            if (good) {
-                RouteTally(
-                    route,
-                    good = 1,
-                    timeMillis = firstByteMillis,
-                )
-            } else {
-                RouteTally(route, failed = 1)
-            }
+        val seen = if (good) RouteTally(route, good = 1, timeMillis = tookMillis) else RouteTally(route, failed = 1)
         tallies.merge(route, seen, RouteTally::plus)
     }
 
-    fun tallies(): List<RolloutTally> = watched.map { (order, seen) ->
-        RolloutTally(order, seen.old.values.toList(), seen.new.values.toList())
+    /** Counts an attempt that was left without an answer; one that was left early says nothing. */
+    fun left(attempt: OpenAttempt) {
+        val seen = watched[attempt.rollout.order] ?: return
+        if (attempt.elapsedMillis <= seen.ordinaryMillis(attempt.route)) return
+        val tallies = if (attempt.version == attempt.rollout.target) seen.new else seen.old
+        tallies.merge(attempt.route, unfinished(attempt), RouteTally::plus)
+    }
+
+    /** Returns what has been seen of each running roll-out, with those of [open] that take longer than usual. */
+    fun tallies(open: List<OpenAttempt>): List<RolloutTally> = watched.map { (order, seen) ->
+        RolloutTally(order) + seen.withOpen(open.filter { it.rollout.order == order })
     }
 }
+
+private fun unfinished(attempt: OpenAttempt) =
+    RouteTally(attempt.route, unfinished = 1, timeMillis = attempt.elapsedMillis)
