--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
@@ -42,6 +42,15 @@
 /** Factor on the old version's mean time from which the new one is bad. */
 private const val BAD_TIME_FACTOR = 2.5
 
+/** Attempts over all routes below which the new version is never judged bad by the time of all. */
+private const val LEAST_TIMED_OVERALL = 15
+
+/** Factor on the old version's time over all routes from which the new one is bad: more attempts need less of it. */
+private const val BAD_TIME_FACTOR_OVERALL = 1.6
+
+/** Well-ended attempts for each unfinished one that a version needs to take all requests. */
+private const val ENDED_FOR_EACH_UNFINISHED = 3
+
 /**
  * Counts what was seen of one version on one route since a roll-out's order; tallies of several hosts add up.
  *
@@ -113,15 +122,27 @@
     return when {
         tally.isBad() -> FleetRolloutPhase.RolledBack
         !due -> null
-        newVersionReady && tally.new.sumOf { it.good } > tally.new.sumOf { it.unfinished } ->
-            FleetRolloutPhase.Completed
+        newVersionReady && tally.endsWell() -> FleetRolloutPhase.Completed
         // Too little good was seen of it by the end: keeping the old version is the safe side.
         else -> FleetRolloutPhase.RolledBack
     }
 }
 
 private fun RolloutTally.isBad(): Boolean =
-    failsMore() || new.any { it.failsMoreThan(oldOf(it)) || it.isSlow(oldOf(it)) }
+    failsMore() || isSlowOverall() || new.any { it.failsMoreThan(oldOf(it)) || it.isSlow(oldOf(it)) }
+
+private fun RolloutTally.endsWell(): Boolean {
+    val good = new.sumOf { it.good }
+    return good > 0 && good >= new.sumOf { it.unfinished } * ENDED_FOR_EACH_UNFINISHED
+}
+
+/** Compares the time of all the new version's attempts with what the old one takes for as many on the same routes. */
+private fun RolloutTally.isSlowOverall(): Boolean {
+    val comparable = new.filter { oldOf(it).good >= LEAST_TIMED }
+    if (comparable.sumOf { it.timed } < LEAST_TIMED_OVERALL) return false
+    val expectedMillis = comparable.sumOf { it.timed * oldOf(it).meanMillis }
+    return comparable.sumOf { it.timeMillis } > BAD_TIME_FACTOR_OVERALL * expectedMillis
+}
 
 private fun RolloutTally.oldOf(tally: RouteTally): RouteTally =
     old.firstOrNull { it.route == tally.route } ?: tally.copy(good = 0, failed = 0, timeMillis = 0)
--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
@@ -81,8 +81,19 @@
             FleetRolloutPhase.RolledBack,
         ),
         Case(
-            "goes back at its end when most attempts are unfinished",
-            tally(new = RouteTally("r", 1, 0, 100, unfinished = 2)),
+            "goes back when attempts on all routes take twice as long, though none on its own is slow enough",
+            RolloutTally(
+                1,
+                listOf(RouteTally("r", 131, 0, 290_755, 9), RouteTally("s", 293, 0, 63_659, 2)),
+                listOf(RouteTally("r", 3, 0, 53_085, 10), RouteTally("s", 20, 0, 10_533, 4)),
+            ),
+            6_000,
+            true,
+            FleetRolloutPhase.RolledBack,
+        ),
+        Case(
+            "goes back at its end when many attempts are unfinished",
+            tally(new = RouteTally("r", 2, 0, 300, unfinished = 1)),
             23_000,
             true,
             FleetRolloutPhase.RolledBack,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatch.kt
@@ -31,7 +31,7 @@
     private val nowMillis: () -> Long,
 ) : ExchangeHost {
     private val budgets = RepeatBudgets(settings.retries, { upstreams.hosts }, nowMillis)
-    private val models = ModelPolicy()
+    private val models = ModelPolicy(nowMillis)
     private val log = RequestLog(nowMillis)
     private val line = WaitingLine<Exchange>(nowMillis)
     private val active = LinkedHashSet<Exchange>()
@@ -147,6 +147,14 @@
 
     override fun left(exchange: Exchange) {
         openAttempt(exchange)?.let(rollouts::left)
+        if (exchange.target != null && !exchange.answerBegun) learnWait(exchange)
+    }
+
+    /** Takes in how long the attempt by the route's largest model has taken so far. */
+    private fun learnWait(exchange: Exchange) {
+        val request = exchange.request
+        if (!request.anyModel || exchange.modelIndex != request.route.models.lastIndex) return
+        models.learnWait(request.route, nowMillis() - exchange.sentAtMillis)
     }
 
     /** Returns what has been seen of each running roll-out up to now. */
@@ -166,6 +174,7 @@
         val request = exchange.request
         if (confidence != null && request.anyModel) {
             models.learn(request.route, exchange.modelIndex, request.demand, confidence)
+            learnWait(exchange)
         }
     }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -171,6 +171,9 @@
     /** Whole events that the caller was sent. */
     val events: Int get() = relay.events
 
+    /** Whether the present attempt has brought the head of an answer. */
+    val answerBegun: Boolean get() = response != null
+
     /** Whether it is known that no upstream ran the request or ever will. */
     val hasNotRun: Boolean get() = !mayHaveRun
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
@@ -3,6 +3,9 @@
  * prices lie a factor of ten and more apart, of which the smallest answers some six in ten requests well and the
  * largest nearly all; an answer's head carries the model's rough opinion of it before the caller has received anything.
  *
+ * Under more load than the engines can take, an answer by the largest model comes late whatever it says, and each one
+ * asked for delays the others: there the smallest model's answer is taken as it is.
+ *
  * The smallest model is asked first while dropping its doubtful answers is cheaper than asking the largest at once. An
  * answer is dropped for the largest model's when the opinion is too low for what another answer costs.
  */
@@ -10,6 +13,7 @@
 
 import io.carawaytrack.fleet.CatalogPool
 import io.carawaytrack.fleet.CatalogRoute
+import kotlin.math.pow
 
 /** Opinion, 0 to 100, from which an answer is taken as it is. */
 private const val CONFIDENT = 70
@@ -29,13 +33,23 @@
 /** Share of a route's latency target that must be left to ask another model. */
 private const val LEAST_TIME_SHARE = 0.25
 
-/** What has been seen of a route's answers by its smallest model. */
+/** Weight of the newest answer in the time that a route's largest model takes: the last few count. */
+private const val NEWEST_WAIT_WEIGHT = 0.2
+
+/** Time without an answer in which what was learned of that time loses half of its weight, in milliseconds. */
+private const val WAIT_HALF_LIFE_MILLIS = 2_000.0
+
+/** What has been seen of a route's answers. */
 private class RouteOpinion {
     var acceptedShare = 0.5
     var answerTokens = 0.0
+    var largestWaitMillis = 0.0
+    var largestSeenAtMillis = 0L
 }
 
-internal class ModelPolicy {
+internal class ModelPolicy(
+    private val nowMillis: () -> Long,
+) {
     private val opinions = HashMap<String, RouteOpinion>()
 
     /** Returns the position of the model to ask first. */
@@ -72,6 +86,22 @@
             if (known == 0.0) answerTokens.toDouble() else known + (answerTokens - known) * NEWEST_WEIGHT
     }
 
+    /** Takes in that the largest model began its answer after [waitMillis], or had not begun it by then. */
+    fun learnWait(
+        route: CatalogRoute,
+        waitMillis: Long,
+    ) {
+        val opinion = opinionOf(route)
+        val known = expectedWaitMillis(opinion)
+        opinion.largestWaitMillis = known + (waitMillis - known) * NEWEST_WAIT_WEIGHT
+        opinion.largestSeenAtMillis = nowMillis()
+    }
+
+    private fun expectedWaitMillis(opinion: RouteOpinion): Double {
+        val unseenMillis = nowMillis() - opinion.largestSeenAtMillis
+        return opinion.largestWaitMillis * HALF.pow(unseenMillis / WAIT_HALF_LIFE_MILLIS)
+    }
+
     /** Returns the position of the model whose answer is to replace the one by the model at [index], or null. */
     fun larger(
         route: CatalogRoute,
@@ -81,7 +111,8 @@
         onTimeLeftMillis: Long,
     ): Int? {
         val last = route.models.lastIndex
-        val tooLate = onTimeLeftMillis < route.latencyTargetMillis * LEAST_TIME_SHARE
+        val neededMillis = maxOf(route.latencyTargetMillis * LEAST_TIME_SHARE, expectedWaitMillis(opinionOf(route)))
+        val tooLate = onTimeLeftMillis < neededMillis
         return last.takeIf { index < last && !tooLate && confidence < leastConfidence(route, demand) }
     }
 
@@ -105,4 +136,8 @@
         ?.models
         ?.firstOrNull { it.model == route.models[index] }
         ?.costPerKiloToken ?: 0.0
+
+    private companion object {
+        const val HALF = 0.5
+    }
 }
