--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/PlacementLoadTest.kt
@@ -0,0 +1,125 @@
+/*
+ * A load of long prompts with shared parts, played on engines that read them one after the other: what callers get from
+ * the placing of this module, from round robin and from the fewest requests outstanding, on the same arrivals.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.model.UpstreamId
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import java.util.Random
+import kotlin.math.exp
+import kotlin.math.ln
+
+private const val ENGINES = 6
+private const val HOSTS = 8
+private const val SUBJECTS = 63
+private const val LENGTH_MILLIS = 30_000.0
+
+/** Requests a second over all hosts: more than the engines can read if they read every shared part again. */
+private const val REQUESTS_PER_SECOND = 40.0
+
+/** Prompt tokens that an engine reads in a millisecond for the largest model. */
+private const val TOKENS_PER_MILLI = 42.0
+
+/** Time that an answer takes after its prompt has been read, in milliseconds. */
+private const val ANSWER_MILLIS = 2_500.0
+private const val TARGET_MILLIS = 2_000.0
+private const val REPORT_LAG_MILLIS = 200.0
+
+private class Arrival(
+    val atMillis: Double,
+    val host: Int,
+    val demand: PromptDemand,
+)
+
+/** An engine that reads prompts in order; each answer occupies it until its end. */
+private class ReadingEngine {
+    val held = HashSet<String>()
+    val endsAtMillis = ArrayList<Double>()
+    var readUntilMillis = 0.0
+    var readTokens = 0L
+
+    fun loadAt(millis: Double): Int = endsAtMillis.count { it > millis }
+
+    /** Takes a request and returns the time to its first event. */
+    fun take(arrival: Arrival): Double {
+        val unheld = arrival.demand.sharedParts.filter { held.add(it.id) }.sumOf { it.tokens }
+        val tokens = unheld + arrival.demand.parts.last().tokens
+        readTokens += tokens
+        readUntilMillis = maxOf(readUntilMillis, arrival.atMillis) + tokens / TOKENS_PER_MILLI
+        endsAtMillis += readUntilMillis + ANSWER_MILLIS
+        return readUntilMillis - arrival.atMillis
+    }
+}
+
+private class Outcome(
+    val onTime: Double,
+    val readTokens: Long,
+)
+
+/** Chooses an engine by what the host knows: its own requests there and a report that is old. */
+private typealias Choice = (arrival: Arrival, candidates: List<Candidate>, number: Int) -> Int
+
+class PlacementLoadTest {
+    private fun arrivals(seed: Long): List<Arrival> {
+        val random = Random(seed)
+        var atMillis = 0.0
+        return generateSequence {
+            atMillis += -ln(1 - random.nextDouble()) / REQUESTS_PER_SECOND * MILLIS_PER_SECOND
+            val subject = random.nextInt(SUBJECTS)
+            val own = (exp(random.nextGaussian()) * OWN_TOKENS).toInt().coerceIn(1, MAX_OWN_TOKENS)
+            val parts = listOf(PromptPart("s$subject", SHARED_TOKENS), PromptPart("own$atMillis", own))
+            Arrival(atMillis, random.nextInt(HOSTS), PromptDemand(SHARED_TOKENS + own, 300, parts))
+        }.takeWhile { it.atMillis < LENGTH_MILLIS }.toList()
+    }
+
+    private fun play(
+        arrivals: List<Arrival>,
+        choose: Choice,
+    ): Outcome {
+        val engines = List(ENGINES) { ReadingEngine() }
+        var onTime = 0
+        arrivals.forEachIndexed { number, arrival ->
+            val candidates =
+                engines.mapIndexed { index, engine ->
+                    val load = engine.loadAt(arrival.atMillis - REPORT_LAG_MILLIS)
+                    Candidate(UpstreamId("e$index"), sameZone = true, load, slots = 64, engine = true)
+                }
+            val chosen = engines[choose(arrival, candidates, number)]
+            if (chosen.take(arrival) <= TARGET_MILLIS) onTime++
+        }
+        return Outcome(onTime.toDouble() / arrivals.size, engines.sumOf { it.readTokens })
+    }
+
+    private fun byCost(
+        arrival: Arrival,
+        candidates: List<Candidate>,
+    ): Int = candidates.indexOf(place(candidates, arrival.demand))
+
+    @TestFactory
+    fun `more answers begin in time than by round robin or by the fewest requests outstanding`(): List<DynamicTest> =
+        listOf(1L, 2L, 3L).map { seed ->
+            dynamicTest("seed $seed") {
+                val arrivals = arrivals(seed)
+                val placed = play(arrivals) { arrival, candidates, _ -> byCost(arrival, candidates) }
+                val inTurn = play(arrivals) { _, _, number -> number % ENGINES }
+                val fewest = play(arrivals) { _, candidates, _ -> candidates.indices.minBy { candidates[it].load } }
+                expectThat(placed.onTime).isGreaterThan(inTurn.onTime)
+                expectThat(placed.onTime).isGreaterThan(fewest.onTime)
+                expectThat(placed.readTokens).isLessThan(inTurn.readTokens)
+                expectThat(placed.readTokens).isLessThan(fewest.readTokens)
+            }
+        }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+        const val SHARED_TOKENS = 5_382
+        const val OWN_TOKENS = 3_000
+        const val MAX_OWN_TOKENS = 54_000
+    }
+}
