--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Message.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Message.kt
@@ -5,17 +5,16 @@
 package io.carawaytrack.consensus
 
 import io.carawaytrack.storage.LogEntry
-import io.carawaytrack.storage.checksum
+import io.carawaytrack.storage.sealed
+import io.carawaytrack.storage.unsealed
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
-import java.nio.ByteBuffer
 
 private const val MESSAGE_VERSION = 1
-private const val CHECKSUM_BYTES = Long.SIZE_BYTES
 
 /** Wraps a message with what tells a stranger apart: another version, another cluster, another data folder. */
 @Serializable
@@ -151,33 +150,13 @@
 
     fun encode(message: Message): ByteArray {
         val envelope = Envelope(clusterId = clusterId, incarnation = incarnation, message = message)
-        val content = cbor.encodeToByteArray(envelope)
-        return ByteBuffer
-            .allocate(CHECKSUM_BYTES + content.size)
-            .putLong(checksum(content))
-            .put(content)
-            .array()
+        return sealed(cbor.encodeToByteArray(envelope))
     }
 
     /** Returns the envelope in [payload], or null when it is damaged or from another version or cluster. */
     fun decode(payload: ByteArray): Envelope? {
-        val contentBytes = payload.size - CHECKSUM_BYTES
-        val whole = contentBytes > 0 && ByteBuffer.wrap(payload).getLong() == checksumOfContent(payload)
-        if (!whole) return null
-        return read(payload.copyOfRange(CHECKSUM_BYTES, payload.size))
+        val content = unsealed(payload) ?: return null
+        return orNullIfForeign { cbor.decodeFromByteArray<Envelope>(ByteArray(content.remaining()).also(content::get)) }
             ?.takeIf { it.version == MESSAGE_VERSION && it.clusterId == clusterId }
     }
-
-    private fun checksumOfContent(payload: ByteArray) = checksum(payload, CHECKSUM_BYTES, payload.size - CHECKSUM_BYTES)
-
-    /** Returns null for content that another version may have written; the codec throws one of these for it. */
-    private fun read(content: ByteArray): Envelope? = try {
-        cbor.decodeFromByteArray<Envelope>(content)
-    } catch (_: IllegalArgumentException) {
-        null
-    } catch (_: IllegalStateException) {
-        null
-    } catch (_: IndexOutOfBoundsException) {
-        null
-    }
 }
--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/Explain.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/Explain.kt
@@ -5,7 +5,6 @@
 package io.carawaytrack.ctl
 
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
@@ -119,10 +118,8 @@
     return try {
         val json = Json.parseToJsonElement(line.substring(start)).jsonObject
         json.text("timestamp")?.let { Entry(Instant.parse(it), json) }
-    } catch (_: SerializationException) {
-        // Logs hold lines of other programs too, such as those of the Java machine.
-        null
     } catch (_: IllegalArgumentException) {
+        // Logs hold lines of other programs too, such as those of the Java machine.
         null
     } catch (_: DateTimeParseException) {
         null
--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
@@ -145,7 +145,7 @@
 }
 
 private fun RolloutTally.oldOf(tally: RouteTally): RouteTally =
-    old.firstOrNull { it.route == tally.route } ?: tally.copy(good = 0, failed = 0, timeMillis = 0)
+    old.firstOrNull { it.route == tally.route } ?: RouteTally(tally.route)
 
 private fun RolloutTally.failsMore(): Boolean {
     val all = RouteTally("all")
--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/UpstreamRegistry.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/UpstreamRegistry.kt
@@ -82,6 +82,9 @@
     /** All upstreams that have not signed off or fallen silent for long. */
     public val upstreams: Collection<KnownUpstream>
 
+    /** Returns the upstream [id], or null when it is not among [upstreams]. */
+    public fun find(id: UpstreamId): KnownUpstream?
+
     /** Takes in [announced], made [ageMillis] ago. */
     public fun hear(
         announced: FleetUpstream,
@@ -107,6 +110,8 @@
 
     override val upstreams: Collection<KnownUpstream> get() = known.values
 
+    override fun find(id: UpstreamId): KnownUpstream? = known[id]
+
     override fun hear(
         announced: FleetUpstream,
         ageMillis: Long,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerRelay.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerRelay.kt
@@ -55,7 +55,7 @@
         bytes: ByteBuf,
     ): Boolean {
         val events = scanner?.take(bytes, caller.channel.alloc()) ?: bytes
-        val good = scanner?.damaged != true && (begun || head.isSealed(vocabulary))
+        val good = scanner?.damaged != true && (begun || head.isSigned(vocabulary))
         if (!good || !events.isReadable) {
             events.release()
             return good
@@ -89,10 +89,10 @@
 
     /** Returns whether the answer under [head], whose body has ended, is one that may go to the caller. */
     fun isWhole(head: HttpResponse): Boolean = when {
-        isStream(head) -> scanner?.isAtBoundary != false && (begun || head.isSealed(vocabulary))
+        isStream(head) -> scanner?.isAtBoundary != false && (begun || head.isSigned(vocabulary))
         // A failure of the upstream that was to go on with a stream is no part of the stream.
         begun -> !request.route.streaming
-        else -> !head.isSuccess() || head.isSealed(vocabulary)
+        else -> !head.isSuccess() || head.isSigned(vocabulary)
     }
 
     /** Sends what is left of a whole answer. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -123,9 +123,7 @@
     model: String?,
     lastEventId: String?,
 ): FullHttpRequest {
-    val headers = unvalidatedHeaders()
-    val dropped = connectionHeaders + namedByConnection(head.headers()) + vocabulary.reserved
-    head.headers().forEach { (name, value) -> if (name.lowercase() !in dropped) headers.add(name, value) }
+    val headers = passedOn(head.headers(), vocabulary.reserved)
     if (bearerKey(head.headers()) != null) headers.remove(HttpHeaderNames.AUTHORIZATION)
     headers[vocabulary.attemptId] = id
     headers[vocabulary.deadlineMillis] = leftMillis.toString()
@@ -157,11 +155,17 @@
     headers.getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim().lowercase() }
 
 /** Returns the headers of an upstream's answer that go to the caller. */
-internal fun answerHeaders(upstreams: HttpHeaders): HttpHeaders {
-    val dropped = connectionHeaders + namedByConnection(upstreams)
-    val headers = unvalidatedHeaders()
-    upstreams.forEach { (name, value) -> if (name.lowercase() !in dropped) headers.add(name, value) }
-    return headers
+internal fun answerHeaders(upstreams: HttpHeaders): HttpHeaders = passedOn(upstreams, reserved = emptySet())
+
+/** Copies [headers] but for those of one connection and the [reserved] ones, which are named in lower case. */
+private fun passedOn(
+    headers: HttpHeaders,
+    reserved: Set<String>,
+): HttpHeaders {
+    val dropped = connectionHeaders + namedByConnection(headers) + reserved
+    val copy = unvalidatedHeaders()
+    headers.forEach { (name, value) -> if (name.lowercase() !in dropped) copy.add(name, value) }
+    return copy
 }
 
 /** Creates headers that take what another message's reader has checked already. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/HeaderVocabulary.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/HeaderVocabulary.kt
@@ -17,7 +17,7 @@
  * @property lengthHint the caller's estimate of the generated tokens
  * @property session names the session that a request belongs to
  * @property urgency urgency that engines go by, 0 first to 9
- * @property seal an upstream's signature over its answer
+ * @property signature an upstream's signature over its answer
  * @property notExecuted present on an answer of an upstream that has not run the request
  * @property load running requests, waiting requests and slots of an upstream
  * @property coldMillis time for which an upstream stays cold
@@ -35,7 +35,7 @@
     val lengthHint: String,
     val session: String,
     val urgency: String,
-    val seal: String,
+    val signature: String,
     val notExecuted: String,
     val load: String,
     val coldMillis: String,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RolloutWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RolloutWatch.kt
@@ -16,7 +16,9 @@
     val route: String,
     val version: String,
     val elapsedMillis: Long,
-)
+) {
+    val onNew: Boolean get() = version == rollout.target
+}
 
 internal class RolloutWatch(
     private val bounds: RolloutBounds,
@@ -28,14 +30,10 @@
         val old = HashMap<String, RouteTally>()
         val new = HashMap<String, RouteTally>()
 
-        /** Time on [route] after which an attempt without an end tells something: an ordinary answer's. */
-        fun ordinaryMillis(route: String): Double = old[route]?.meanMillis ?: 0.0
+        fun of(onNew: Boolean) = if (onNew) new else old
 
-        fun withOpen(attempts: List<OpenAttempt>): RolloutTally {
-            val late = attempts.filter { it.elapsedMillis > ordinaryMillis(it.route) }
-            val (onNew, onOld) = late.partition { it.version == it.rollout.target }
-            return RolloutTally(0, old.values + onOld.map(::unfinished), new.values + onNew.map(::unfinished))
-        }
+        /** Returns whether [attempt] has taken longer than an ordinary answer, so that it tells something. */
+        fun isLate(attempt: OpenAttempt) = attempt.elapsedMillis > (old[attempt.route]?.meanMillis ?: 0.0)
     }
 
     private val watched = HashMap<Long, Watched>()
@@ -64,22 +62,23 @@
         good: Boolean,
         tookMillis: Long,
     ) {
-        val tallies = watched[rollout.order]?.let { if (version == rollout.target) it.new else it.old } ?: return
+        val tallies = watched[rollout.order]?.of(onNew = version == rollout.target) ?: return
         val seen = if (good) RouteTally(route, good = 1, timeMillis = tookMillis) else RouteTally(route, failed = 1)
         tallies.merge(route, seen, RouteTally::plus)
     }
 
     /** Counts an attempt that was left without an answer; one that was left early says nothing. */
     fun left(attempt: OpenAttempt) {
-        val seen = watched[attempt.rollout.order] ?: return
-        if (attempt.elapsedMillis <= seen.ordinaryMillis(attempt.route)) return
-        val tallies = if (attempt.version == attempt.rollout.target) seen.new else seen.old
-        tallies.merge(attempt.route, unfinished(attempt), RouteTally::plus)
+        val seen = watched[attempt.rollout.order]?.takeIf { it.isLate(attempt) } ?: return
+        seen.of(attempt.onNew).merge(attempt.route, unfinished(attempt), RouteTally::plus)
     }
 
     /** Returns what has been seen of each running roll-out, with those of [open] that take longer than usual. */
     fun tallies(open: List<OpenAttempt>): List<RolloutTally> = watched.map { (order, seen) ->
-        RolloutTally(order) + seen.withOpen(open.filter { it.rollout.order == order })
+        val late = open.filter { it.rollout.order == order && seen.isLate(it) }
+        val (onNew, onOld) = late.partition { it.onNew }
+        RolloutTally(order) +
+            RolloutTally(order, seen.old.values + onOld.map(::unfinished), seen.new.values + onNew.map(::unfinished))
     }
 }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamAnswer.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamAnswer.kt
@@ -24,7 +24,7 @@
 internal fun HttpResponse.isFailure(): Boolean = status().codeClass() == HttpStatusClass.SERVER_ERROR
 
 /** Returns whether the upstream has signed the answer. */
-internal fun HttpResponse.isSealed(vocabulary: HeaderVocabulary): Boolean = headers().contains(vocabulary.seal)
+internal fun HttpResponse.isSigned(vocabulary: HeaderVocabulary): Boolean = headers().contains(vocabulary.signature)
 
 /** Returns why the upstream says that it has not run the request, or null when it doesn't say so. */
 internal fun HttpResponse.refusal(vocabulary: HeaderVocabulary): UpstreamRefusal? {
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -14,8 +14,6 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.carawaytrack.consensus.GroupReplica
-import io.carawaytrack.consensus.MemberChange
-import io.carawaytrack.consensus.MemberStanding
 import io.carawaytrack.consensus.ReplicaGroup
 import io.carawaytrack.consensus.ReplicaSettings
 import io.carawaytrack.consensus.ReplicaStatus
@@ -58,18 +56,9 @@
 /** Pause before a folder that failed is opened again, in milliseconds: long enough not to press a sick disk. */
 private const val REOPEN_PAUSE_MILLIS = 700L
 
-/** Silence after which a member gives way to a waiting newcomer, in milliseconds: above the failure detection. */
-private const val REPLACED_AFTER_MILLIS = 3_000L
-
-/** Silence after which a member leaves a group of even size, which is the safer without it, in milliseconds. */
-private const val EVEN_GROUP_SILENCE_MILLIS = 8_000L
-
 /** Time for which a request to join counts, in milliseconds: several intervals at which it is repeated. */
 private const val JOIN_VALID_MILLIS = 1_500L
 
-/** Silence below which a learner counts as reachable, in milliseconds: a few heartbeats. */
-private const val REACHABLE_MILLIS = 1_000L
-
 /** Bound on one command, in bytes: the largest document that an operator may send, uncompressed. */
 private const val MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
@@ -318,40 +307,3 @@
         replica?.close()
     }
 }
-
-/**
- * Returns the change of the [members] that the leader [self] is to make next, given who is [joining].
- *
- * A newcomer at the address of a member takes its place, since that member's disk is gone. Otherwise a newcomer takes
- * the place of a silent member, or is added where none is silent. A silent member is also dropped from a group of even
- * size: the group bears no fewer losses without it.
- */
-internal fun dueChange(
-    members: List<MemberStanding>,
-    joining: Set<NodeId>,
-    self: NodeId,
-): MemberChange? {
-    val newcomer = joining.firstOrNull { joiner -> members.none { it.node == joiner } }
-    val learner = members.firstOrNull { !it.voter }
-    val others = members.filter { it.node != self }
-    val displaced = newcomer?.let { joiner -> others.firstOrNull { addressOf(it.node) == addressOf(joiner) } }
-    val silent = others.maxByOrNull { it.silentMillis }
-    val waiting = newcomer != null || learner?.let { it.silentMillis < REACHABLE_MILLIS } == true
-    val voters = members.count { it.voter }
-    return when {
-        displaced != null -> MemberChange.Remove(displaced.node)
-        silent != null && silent.isDueToGo(waiting, voters) -> MemberChange.Remove(silent.node)
-        learner != null -> if (learner.silentMillis < REACHABLE_MILLIS) MemberChange.Promote(learner.node) else null
-        newcomer != null -> MemberChange.AddLearner(newcomer)
-        else -> null
-    }
-}
-
-private fun MemberStanding.isDueToGo(
-    newcomerWaits: Boolean,
-    voters: Int,
-): Boolean = when {
-    newcomerWaits -> silentMillis >= REPLACED_AFTER_MILLIS
-    !voter -> silentMillis >= EVEN_GROUP_SILENCE_MILLIS
-    else -> voters % 2 == 0 && voters > 2 && silentMillis >= EVEN_GROUP_SILENCE_MILLIS
-}
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
@@ -6,6 +6,7 @@
 
 package io.carawaytrack.mesh
 
+import io.carawaytrack.consensus.orNullIfForeign
 import io.carawaytrack.fleet.Departure
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.FleetView
@@ -16,7 +17,6 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
@@ -140,14 +140,5 @@
 internal fun MeshMessage.encode(): ByteArray = meshCbor.encodeToByteArray(this)
 
 /** Returns the message in [bytes], or null when another version may have written it. */
-internal fun decodeMeshMessage(bytes: ByteArray): MeshMessage? = try {
-    meshCbor.decodeFromByteArray<MeshMessage>(bytes)
-} catch (_: SerializationException) {
-    null
-} catch (_: IllegalArgumentException) {
-    null
-} catch (_: IllegalStateException) {
-    null
-} catch (_: IndexOutOfBoundsException) {
-    null
-}
+internal fun decodeMeshMessage(bytes: ByteArray): MeshMessage? =
+    orNullIfForeign { meshCbor.decodeFromByteArray<MeshMessage>(bytes) }
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/RecentState.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/RecentState.kt
@@ -10,7 +10,9 @@
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.fleet.KnownUpstream
 import io.carawaytrack.model.UpstreamId
-import io.carawaytrack.storage.checksum
+import io.carawaytrack.storage.replaceFile
+import io.carawaytrack.storage.sealed
+import io.carawaytrack.storage.unsealed
 import io.carawaytrack.telemetry.event
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
@@ -20,17 +22,12 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import java.io.IOException
-import java.nio.ByteBuffer
-import java.nio.channels.FileChannel
 import java.nio.file.Files
 import java.nio.file.Path
-import java.nio.file.StandardCopyOption
-import java.nio.file.StandardOpenOption
 
 private val logger = KotlinLogging.logger {}
 
 private const val RECENT_FILE = "recent"
-private const val TEMPORARY_FILE = "recent.tmp"
 
 /** Time for which an upstream that was known before a restart counts as cold, in milliseconds: a usual cold start. */
 private const val DOUBTED_MILLIS = 3_000L
@@ -69,20 +66,8 @@
     folder: Path,
     recent: Recent,
 ) {
-    val content = recentCbor.encodeToByteArray(recent)
-    val sealed =
-        ByteBuffer
-            .allocate(Long.SIZE_BYTES + content.size)
-            .putLong(checksum(content))
-            .put(content)
-            .flip()
     try {
-        val options = setOf(StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)
-        FileChannel.open(folder.resolve(TEMPORARY_FILE), options).use { file ->
-            while (sealed.hasRemaining()) file.write(sealed)
-            file.force(true)
-        }
-        Files.move(folder.resolve(TEMPORARY_FILE), folder.resolve(RECENT_FILE), StandardCopyOption.REPLACE_EXISTING)
+        replaceFile(folder, RECENT_FILE, sealed(recentCbor.encodeToByteArray(recent)))
     } catch (failure: IOException) {
         logger.event("recent_state_not_saved", mapOf("reason" to failure.toString()), Level.WARN)
     }
@@ -97,11 +82,9 @@
 }
 
 private fun decode(bytes: ByteArray): Recent? {
-    val contentBytes = bytes.size - Long.SIZE_BYTES
-    val whole = contentBytes > 0 && ByteBuffer.wrap(bytes).getLong() == checksum(bytes, Long.SIZE_BYTES, contentBytes)
-    if (!whole) return null
+    val content = unsealed(bytes) ?: return null
     return try {
-        val recent = recentCbor.decodeFromByteArray<Recent>(bytes.copyOfRange(Long.SIZE_BYTES, bytes.size))
+        val recent = recentCbor.decodeFromByteArray<Recent>(ByteArray(content.remaining()).also(content::get))
         Recent(recent.view, recent.upstreams.map { it.copy(coldMillis = maxOf(it.coldMillis, DOUBTED_MILLIS)) })
     } catch (otherVersion: IllegalArgumentException) {
         logger.event("recent_state_unreadable", mapOf("reason" to otherVersion.toString()), Level.WARN)
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamSpread.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamSpread.kt
@@ -50,8 +50,8 @@
     }
 
     fun depart(departure: Departure) {
-        val known = upstreams.upstreams.firstOrNull { it.upstream.id == departure.id }
-        val exact = departure.copy(startedAtMillis = departure.startedAtMillis ?: known?.upstream?.startedAtMillis)
+        val known = upstreams.find(departure.id)?.upstream
+        val exact = departure.copy(startedAtMillis = departure.startedAtMillis ?: known?.startedAtMillis)
         if (!upstreams.leave(exact)) return
         send(MeshMessage.Upstreams(emptyList(), listOf(exact), relay = !core), CHANGE_COPIES)
         events.upstreamGone(exact)
@@ -99,6 +99,6 @@
     }
 
     private fun tellChanged(upstream: FleetUpstream) {
-        upstreams.upstreams.firstOrNull { it.upstream.id == upstream.id }?.let(events.upstreamChanged)
+        upstreams.find(upstream.id)?.let(events.upstreamChanged)
     }
 }
--- a/storage/src/main/kotlin/io/carawaytrack/storage/FileDisk.kt
+++ b/storage/src/main/kotlin/io/carawaytrack/storage/FileDisk.kt
@@ -70,18 +70,7 @@
         name: String,
         content: ByteArray,
     ) {
-        val temporary = folder.resolve(name + TEMPORARY_SUFFIX)
-        FileChannel
-            .open(
-                temporary,
-                StandardOpenOption.CREATE,
-                StandardOpenOption.TRUNCATE_EXISTING,
-                StandardOpenOption.WRITE,
-            ).use { channel ->
-                channel.writeAll(content)
-                channel.force(true)
-            }
-        Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+        replaceFile(folder, name, content)
         syncFolder()
     }
 
@@ -94,6 +83,24 @@
     private fun syncFolder() = FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
 }
 
+/**
+ * Replaces the file [name] of [folder] by [content]: after a loss of power it holds the old content or the new one, and
+ * which of them is certain only once the folder has been synced. Throws [IOException].
+ */
+public fun replaceFile(
+    folder: Path,
+    name: String,
+    content: ByteArray,
+) {
+    val temporary = folder.resolve(name + TEMPORARY_SUFFIX)
+    val options = setOf(StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)
+    FileChannel.open(temporary, options).use { channel ->
+        channel.writeAll(content)
+        channel.force(true)
+    }
+    Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+}
+
 private class ChannelFile(
     private val channel: FileChannel,
 ) : DiskFile {
--- a/storage/src/main/kotlin/io/carawaytrack/storage/StateFiles.kt
+++ b/storage/src/main/kotlin/io/carawaytrack/storage/StateFiles.kt
@@ -7,23 +7,26 @@
 import io.carawaytrack.model.NodeId
 import java.nio.ByteBuffer
 
-internal fun sealed(content: ByteArray): ByteArray = ByteBuffer
+/** Returns [content] behind its checksum. */
+public fun sealed(content: ByteArray): ByteArray = ByteBuffer
     .allocate(Long.SIZE_BYTES + content.size)
     .putLong(checksum(content))
     .put(content)
     .array()
 
+/** Returns the content of what [sealed] made, or null when there is none or the checksum doesn't match. */
+public fun unsealed(sealed: ByteArray): ByteBuffer? {
+    val contentBytes = sealed.size - Long.SIZE_BYTES
+    val whole =
+        contentBytes > 0 && ByteBuffer.wrap(sealed).getLong() == checksum(sealed, Long.SIZE_BYTES, contentBytes)
+    return if (whole) ByteBuffer.wrap(sealed, Long.SIZE_BYTES, contentBytes) else null
+}
+
 internal fun unsealed(
     name: String,
     sealed: ByteArray,
-): ByteBuffer {
-    val whole = sealed.size >= Long.SIZE_BYTES
-    val offset = Long.SIZE_BYTES
-    if (!whole || ByteBuffer.wrap(sealed).getLong() != checksum(sealed, offset, sealed.size - offset)) {
-        throw CorruptException("expected the checksum of $name to match its ${sealed.size} bytes, found another")
-    }
-    return ByteBuffer.wrap(sealed, offset, sealed.size - offset)
-}
+): ByteBuffer = unsealed(sealed)
+    ?: throw CorruptException("expected the checksum of $name to match its ${sealed.size} bytes, found another")
 
 internal fun encodeTerm(termVote: TermVote): ByteArray {
     val vote =
