Keep the version of sessions in the first half of a roll-out

A host moved a fixed share of all sessions as soon as the new version had upstreams; it cannot know that a session which it sees for the first time is in progress through another host. With some hundred sessions at a time the tolerance of three requests is exceeded; small deployments stay below it. A host also measured the age of a roll-out from the time at which it learned of it, so one that restarted in the second half moved sessions back.

Change: sessions move to the new version in the second half only, with a higher share, so that the exposure over the whole roll-out stays below the bound. Requests without a session still use it from the start. A host adopts the age of a roll-out from the peer that tells it of the roll-out (RolloutClock); the wall clock is used only after a restart from the host's own disk.

Ruled out: moves between hosts at the half and at completion (the first break was in the first half).

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
@@ -1,5 +1,5 @@
 /*
- * Progress of a roll-out: the fraction of new sessions that the new version receives over time, and the observations
+ * Progress of a roll-out: the fraction of the requests that the new version receives over time, and the observations
  * that cause a rollback. The policy is designed for a service with a few tens of requests per second, where a third or
  * more of the new version's responses may fail or take several times as long, from the start, later, or on a single
  * route.
@@ -20,12 +20,18 @@
     val exposureSlack: Int = 30,
 )
 
-/** Fraction of new sessions in the first half of a roll-out, as a ratio of the allowed exposure. */
+/** Fraction of requests without a session in the first half of a roll-out, as a ratio of the allowed exposure. */
 private const val FIRST_HALF_EXPOSURE_RATIO = 0.5
 
-/** Fraction of new sessions in the second half, as a ratio of the allowed exposure. */
+/** Fraction of the requests without a session in the second half, as a ratio of the allowed exposure. */
 private const val SECOND_HALF_EXPOSURE_RATIO = 0.85
 
+/**
+ * Fraction of the sessions in the second half, as a ratio of the allowed exposure. It may exceed 1 because sessions
+ * keep their version in the first half, so that the fraction over the whole roll-out is half as high.
+ */
+private const val SESSION_EXPOSURE_RATIO = 1.5
+
 /** Time before the end at which a version without detected faults receives all requests. */
 private const val COMPLETE_BEFORE_END_MILLIS = 1_800L
 
@@ -98,21 +104,28 @@
 private fun List<RouteTally>.mergedByRoute(): List<RouteTally> =
     groupBy { it.route }.values.map { tallies -> tallies.reduce(RouteTally::plus) }
 
-/** Returns the fraction of new sessions, 0 to 1, that the new version receives [elapsedMillis] after the start. */
+/**
+ * Returns the fraction of requests, 0 to 1, that the new version receives [elapsedMillis] after the start. Sessions
+ * move to the new version in the second half only: a host cannot tell whether a session that it sees for the first time
+ * is already in progress on the old version through another host.
+ */
 public fun FleetRollout.newVersionRatioAt(
     elapsedMillis: Long,
     bounds: RolloutBounds,
+    inSession: Boolean = false,
 ): Double = when (phase) {
     FleetRolloutPhase.Completed -> 1.0
     FleetRolloutPhase.RolledBack -> 0.0
-    FleetRolloutPhase.Running ->
-        if (elapsedMillis * 2 < durationMillis) {
-            bounds.exposureRatio * FIRST_HALF_EXPOSURE_RATIO
-        } else {
-            bounds.exposureRatio * SECOND_HALF_EXPOSURE_RATIO
-        }
+    FleetRolloutPhase.Running -> {
+        val firstHalf = elapsedMillis * 2 < durationMillis
+        bounds.exposureRatio * if (inSession) sessionExposureRatio(firstHalf) else exposureRatio(firstHalf)
+    }
 }
 
+private fun sessionExposureRatio(firstHalf: Boolean) = if (firstHalf) 0.0 else SESSION_EXPOSURE_RATIO
+
+private fun exposureRatio(firstHalf: Boolean) = if (firstHalf) FIRST_HALF_EXPOSURE_RATIO else SECOND_HALF_EXPOSURE_RATIO
+
 /** Returns the phase to which the roll-out moves given [tally], or null if it stays in the current phase. */
 public fun FleetRollout.nextPhase(
     tally: RolloutTally,
--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
 
@@ -118,6 +119,42 @@
         }
     }
 
+    private class RatioCase(
+        val name: String,
+        val elapsedMillis: Long,
+        val inSession: Boolean,
+        val phase: FleetRolloutPhase,
+        val expected: ClosedFloatingPointRange<Double>,
+    )
+
+    @TestFactory
+    fun `sessions keep their version in the first half of a roll-out`(): List<DynamicTest> = listOf(
+        RatioCase("a session at the start", 0, true, FleetRolloutPhase.Running, 0.0..0.0),
+        RatioCase("a session just before the half", 11_999, true, FleetRolloutPhase.Running, 0.0..0.0),
+        RatioCase("a session in the second half", 12_000, true, FleetRolloutPhase.Running, 0.10..0.24),
+        RatioCase("a request without a session at the start", 0, false, FleetRolloutPhase.Running, 0.05..0.12),
+        RatioCase("a request without a session later", 12_000, false, FleetRolloutPhase.Running, 0.05..0.12),
+        RatioCase("a session after a rollback", 13_000, true, FleetRolloutPhase.RolledBack, 0.0..0.0),
+        RatioCase("a session after the completion", 13_000, true, FleetRolloutPhase.Completed, 1.0..1.0),
+    ).map { case ->
+        dynamicTest(case.name) {
+            val bounds = RolloutBounds(exposureRatio = 0.12, exposureSlack = 30)
+            val ratio = rollout.copy(phase = case.phase).newVersionRatioAt(case.elapsedMillis, bounds, case.inSession)
+            expectThat(ratio).isIn(case.expected)
+        }
+    }
+
+    @Test
+    fun `a bad version receives no more than its allowed share of sessions`() {
+        listOf(0.12, 0.15).forEach { exposureRatio ->
+            val bounds = RolloutBounds(exposureRatio, exposureSlack = 30)
+            // The worst case: the faults are never detected, and all requests belong to sessions.
+            val exposed = (0 until DURATION_MILLIS step 30).sumOf { rollout.newVersionRatioAt(it, bounds, true) }
+            val all = (DURATION_MILLIS / 30).toDouble()
+            expectThat(exposed).isLessThanOrEqualTo(all * exposureRatio)
+        }
+    }
+
     @Test
     fun `a bad version receives no more than its allowed share of requests`() {
         val bounds = RolloutBounds(exposureRatio = 0.15, exposureSlack = 30)
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -57,7 +57,7 @@
     val arrivedAtMillis: Long,
     val deadlineAtMillis: Long,
     val demand: PromptDemand,
-    val session: String,
+    val affinity: RequestAffinity,
 ) {
     val rank: Int = organisation?.priority ?: route.priority
 
@@ -92,7 +92,7 @@
         arrivedAtMillis = nowMillis,
         deadlineAtMillis = nowMillis + minOf(deadlineMillis, match.route.timeoutMillis),
         demand = demand,
-        session = sessionOf(headers, demand, headerNames, id),
+        affinity = affinityOf(headers, demand, headerNames, id),
     )
 }
 
@@ -102,13 +102,26 @@
     return if (value.startsWith(BEARER, ignoreCase = true)) value.substring(BEARER.length).trim() else null
 }
 
-/** Returns the session header, or else the identifier of the last prompt part, or else the request's [id]. */
-internal fun sessionOf(
+/**
+ * Identifies the requests that use the same version of a service.
+ *
+ * @property key the session's identifier, or the request's own identifier if it belongs to no session
+ */
+internal data class RequestAffinity(
+    val key: String,
+    val inSession: Boolean,
+)
+
+/** Derives the affinity from the session header, or else the last prompt part, or else the request's [id]. */
+internal fun affinityOf(
     headers: HttpHeaders,
     demand: PromptDemand,
     headerNames: HeaderNames,
     id: String,
-): String = headers[headerNames.session] ?: demand.parts.lastOrNull()?.id ?: id
+): RequestAffinity {
+    val session = headers[headerNames.session] ?: demand.parts.lastOrNull()?.id
+    return RequestAffinity(session ?: id, inSession = session != null)
+}
 
 /**
  * Builds the request for [upstream].
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -77,8 +77,8 @@
     override fun enqueue(exchange: Exchange) {
         if (tryPlace(exchange)) return
         val pool = exchange.pool ?: return
-        val session = exchange.request.session
-        if (upstreams.hasNoUpstream(pool.name, session)) return exchange.fail(noUpstream(exchange))
+        val affinity = exchange.request.affinity
+        if (upstreams.hasNoUpstream(pool.name, affinity)) return exchange.fail(noUpstream(exchange))
         queue.add(exchange).forEach { it.fail(poolExhausted(it)) }
     }
 
@@ -116,7 +116,7 @@
         val criteria =
             SelectionCriteria(
                 pool = pool,
-                session = request.session,
+                affinity = request.affinity,
                 demand = request.demand,
                 model = model.orEmpty(),
                 excluded = exchange.excluded,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -10,6 +10,7 @@
 import io.carawaytrack.fleet.CatalogPool
 import io.carawaytrack.fleet.CatalogRoute
 import io.carawaytrack.fleet.Deregistration
+import io.carawaytrack.fleet.FleetRollout
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.fleet.KnownUpstream
@@ -81,6 +82,17 @@
     public val attemptEnded: (FleetUpstream, Boolean) -> Unit = { _, _ -> },
 )
 
+/**
+ * Supplies what this host knows of its fleet at the time of a call.
+ *
+ * @property upstreams the announced upstreams
+ * @property rolloutElapsedMillis time since a roll-out began
+ */
+public class FleetKnowledge(
+    public val upstreams: () -> Collection<KnownUpstream>,
+    public val rolloutElapsedMillis: (FleetRollout) -> Long,
+)
+
 /** Serves callers; must only be used on its event loop. */
 public interface Gateway : AutoCloseable {
     /** Number of requests whose response is not complete. */
@@ -128,16 +140,16 @@
     settings: GatewaySettings,
     headerNames: HeaderNames,
     group: EventLoopGroup,
-    knownUpstreams: () -> Collection<KnownUpstream>,
+    fleet: FleetKnowledge,
     meters: GatewayMeters = GatewayMeters(),
     nowMillis: () -> Long,
-): Gateway = EventLoopGateway(settings, headerNames, group, knownUpstreams, meters, nowMillis).also { it.start() }
+): Gateway = EventLoopGateway(settings, headerNames, group, fleet, meters, nowMillis).also { it.start() }
 
 private class EventLoopGateway(
     private val settings: GatewaySettings,
     private val headerNames: HeaderNames,
     group: EventLoopGroup,
-    private val knownUpstreams: () -> Collection<KnownUpstream>,
+    private val fleet: FleetKnowledge,
     meters: GatewayMeters,
     private val nowMillis: () -> Long,
 ) : Gateway {
@@ -148,7 +160,7 @@
             nowMillis,
         )
     private val connections = UpstreamConnections(group, nowMillis)
-    private val rollouts = RolloutTracker(settings.rollouts, nowMillis)
+    private val rollouts = RolloutTracker(settings.rollouts, fleet.rolloutElapsedMillis)
     private val upstreams = UpstreamDirectory(settings.zone, rollouts, connections, nowMillis)
     private val dispatcher = Dispatcher(settings, headerNames, upstreams, rollouts, connections, meters, nowMillis)
     private var catalog: Catalog? = null
@@ -266,7 +278,7 @@
     }
 
     override fun tick() {
-        upstreams.refresh(knownUpstreams())
+        upstreams.refresh(fleet.upstreams())
         dispatcher.tick()
         if (++ticks % TICKS_PER_PRUNE == 0L) prune()
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RolloutTracker.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RolloutTracker.kt
@@ -23,11 +23,9 @@
 
 internal class RolloutTracker(
     private val bounds: RolloutBounds,
-    private val nowMillis: () -> Long,
+    private val elapsedMillis: (FleetRollout) -> Long,
 ) {
-    private class TrackedRollout(
-        val sinceMillis: Long,
-    ) {
+    private class TrackedRollout {
         val old = HashMap<String, RouteTally>()
         val new = HashMap<String, RouteTally>()
 
@@ -45,16 +43,17 @@
     fun update(rollouts: List<FleetRollout>) {
         val running = rollouts.filter { it.phase == FleetRolloutPhase.Running }.map { it.id }
         tracked.keys.retainAll(running.toSet())
-        running.forEach { tracked.getOrPut(it) { TrackedRollout(nowMillis()) } }
+        running.forEach { tracked.getOrPut(it, ::TrackedRollout) }
     }
 
-    /** Returns whether [session] is assigned to the new version; an assigned session stays there. */
+    /** Returns whether requests with [affinity] use the new version; a session that has moved there stays. */
     fun usesNewVersion(
         rollout: FleetRollout,
-        session: String,
+        affinity: RequestAffinity,
     ): Boolean {
-        val sinceMillis = tracked[rollout.id]?.sinceMillis ?: return false
-        return unitHash(session) < rollout.newVersionRatioAt(nowMillis() - sinceMillis, bounds)
+        if (rollout.id !in tracked) return false
+        val ratio = rollout.newVersionRatioAt(elapsedMillis(rollout), bounds, affinity.inSession)
+        return unitHash(affinity.key) < ratio
     }
 
     /** Counts a response or a failure of [version]. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
@@ -31,7 +31,7 @@
  */
 internal class SelectionCriteria(
     val pool: CatalogPool,
-    val session: String,
+    val affinity: RequestAffinity,
     val demand: PromptDemand,
     val model: String,
     val excluded: Set<UpstreamId>,
@@ -113,12 +113,12 @@
     /** Returns whether no upstream can accept the request, now or once it has free capacity. */
     fun hasNoUpstream(
         pool: PoolName,
-        session: String,
-    ): Boolean = eligible(pool, session).none { !it.isPaused }
+        affinity: RequestAffinity,
+    ): Boolean = eligible(pool, affinity).none { !it.isPaused }
 
     /** Returns the upstream to which the request is to be sent now, or null while none has free capacity. */
     fun choose(criteria: SelectionCriteria): UpstreamState? {
-        val available = eligible(criteria.pool.name, criteria.session).filter { hasCapacity(it, criteria.pool) }
+        val available = eligible(criteria.pool.name, criteria.affinity).filter { hasCapacity(it, criteria.pool) }
         val preferred = available.filter { it.upstream.id !in criteria.excluded }
         val usable =
             preferred
@@ -175,10 +175,10 @@
         return state.estimatedLoad() < state.upstream.slots * (1 + queueRatio)
     }
 
-    /** Returns the upstreams that may execute a request of [session]. */
+    /** Returns the upstreams that may execute a request with [affinity]. */
     private fun eligible(
         pool: PoolName,
-        session: String,
+        affinity: RequestAffinity,
     ): List<UpstreamState> {
         val inService = states.values.filter { it.upstream.pool == pool && isInService(it) }
         val rollout = view.rolloutOf(pool) ?: return inService
@@ -187,7 +187,7 @@
             FleetRolloutPhase.Completed -> new.ifEmpty { old }
             FleetRolloutPhase.RolledBack -> old
             FleetRolloutPhase.Running ->
-                if (rollouts.usesNewVersion(rollout, session) &&
+                if (rollouts.usesNewVersion(rollout, affinity) &&
                     new.any { !it.isPaused }
                 ) {
                     new
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
@@ -63,7 +63,7 @@
             GatewaySettings(callers, ZoneName("a"), RetrySettings(retryRatio = 1.0, minRetries = 100)),
             headerNames,
             group,
-            { emptyList() },
+            FleetKnowledge(upstreams = { emptyList() }, rolloutElapsedMillis = { 0 }),
         ) { nowMillis() }
 
     init {
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -79,6 +79,9 @@
     /** Registry of the announced upstreams. */
     public val upstreams: UpstreamRegistry
 
+    /** Time since each roll-out began. */
+    public val rolloutClock: RolloutClock
+
     /** Number of known hosts that serve requests; at least 1. */
     public val hostCount: Int
 
@@ -156,6 +159,8 @@
     private var lastHeartbeatAtMillis = 0L
     private var core: CoreMember? = null
 
+    override val rolloutClock: RolloutClock = RolloutClock(nowMillis, System::currentTimeMillis)
+
     override val upstreams: UpstreamRegistry = UpstreamRegistry(nowMillis)
     private val dissemination = UpstreamDissemination(self.core, upstreams, ::peerLinks, ::coreLinks, events, nowMillis)
 
@@ -285,8 +290,11 @@
             is MeshMessage.Heartbeat -> handleHeartbeat(link, message)
             is MeshMessage.Cores -> addCores(message.cores)
             is MeshMessage.Upstreams -> dissemination.receive(link, message)
-            is MeshMessage.ViewRequest -> if (view.index > message.haveIndex) link.send(MeshMessage.View(view))
-            is MeshMessage.View -> adopt(message.view)
+            is MeshMessage.ViewRequest ->
+                if (view.index > message.haveIndex) {
+                    link.send(MeshMessage.View(view, rolloutClock.elapsedMillis()))
+                }
+            is MeshMessage.View -> adopt(message.view, message.rolloutElapsedMillis)
             is MeshMessage.Replication -> core?.receive(message)
             is MeshMessage.Join -> core?.handleJoin(message) { link.send(it) }
             is MeshMessage.Removed -> core?.handleRemoval(message.node)
@@ -325,9 +333,13 @@
         link.send(MeshMessage.ViewRequest(view.index))
     }
 
-    private fun adopt(newer: FleetView) {
+    private fun adopt(
+        newer: FleetView,
+        rolloutElapsedMillis: Map<Long, Long> = emptyMap(),
+    ) {
         if (newer.index <= view.index) return
         view = newer
+        rolloutClock.update(newer, rolloutElapsedMillis)
         viewRequestedAtMillis = 0
         events.viewChanged(newer)
         if (self.core) sendHeartbeats()
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
@@ -93,10 +93,12 @@
         val haveIndex: Long,
     ) : MeshMessage
 
+    /** The sender's [view]; [rolloutElapsedMillis] holds the time since each roll-out in it began. */
     @Serializable
     @SerialName("v")
     class View(
         val view: FleetView,
+        val rolloutElapsedMillis: Map<Long, Long> = emptyMap(),
     ) : MeshMessage
 
     /** Message of the replicated log. */
