End responses without end, and streams that stall while bytes trickle

Cause: an upstream in trouble may send bytes that are no response until the connection is closed. Shown by a test over fake upstreams: the body of a refusal and of an error response to a stream was buffered without a bound, interim responses and the body of a response to another request were skipped until the deadline, and a stream event without an end was copied again with each piece, which occupied the event loop for seconds. A stalled stream that sent a byte now and then counted as alive until its deadline. The reverse also occurred: a sound stream with a pause of 1.2 s was abandoned, because a silent engine's streams were given 0.45 of the latency target between events too.

Change: buffered, skipped and interim data are bounded, and the attempt ends as broken; a refusal still counts as one. An incomplete event grows in place, is scanned once and ends at 256 KiB. Only complete events count as progress of a stream. The time without progress is a function of its own (StallTimeout) and, between events, depends on the route's target for pauses.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
@@ -14,7 +14,7 @@
 private val ID_FIELD = "id:".encodeToByteArray()
 
 /** Maximum size of an incomplete event that is buffered. */
-private const val MAX_EVENT_BYTES = 1024 * 1024
+private const val MAX_EVENT_BYTES = 256 * 1024
 
 internal class EventScanner(
     /** Identifier of the last forwarded event, initially the one from which the caller resumes. */
@@ -27,7 +27,7 @@
     var events = 0
         private set
 
-    /** Whether an event exceeded [MAX_EVENT_BYTES] without an end. */
+    /** Whether the incomplete event exceeds [MAX_EVENT_BYTES]. */
     var corrupted = false
         private set
 
@@ -41,15 +41,16 @@
         bytes: ByteBuf,
         allocator: ByteBufAllocator,
     ): ByteBuf {
-        val joined = join(bytes, allocator)
-        val end = endOfLastEvent(joined)
+        val scannedBytes = partial.readableBytes()
+        val buffer = if (scannedBytes == 0) bytes else partial.writeBytes(bytes).also { bytes.release() }
+        val end = endOfLastEvent(buffer, scannedBytes)
         if (end < 0) {
-            partial = joined
-            corrupted = corrupted || joined.readableBytes() > MAX_EVENT_BYTES
+            if (scannedBytes == 0) partial = ownCopyOf(buffer, allocator)
+            corrupted = corrupted || partial.readableBytes() > MAX_EVENT_BYTES
             return Unpooled.EMPTY_BUFFER
         }
-        val complete = joined.readRetainedSlice(end - joined.readerIndex())
-        partial = if (joined.isReadable) joined else Unpooled.EMPTY_BUFFER.also { joined.release() }
+        val complete = buffer.readRetainedSlice(end - buffer.readerIndex())
+        partial = ownCopyOf(buffer, allocator)
         return withoutDuplicates(complete, allocator)
     }
 
@@ -57,24 +58,27 @@
     fun discardPartial() {
         partial.release()
         partial = Unpooled.EMPTY_BUFFER
+        corrupted = false
     }
 
-    private fun join(
-        bytes: ByteBuf,
+    /** Copies [buffer], which it releases, into a buffer that can grow without affecting others. */
+    private fun ownCopyOf(
+        buffer: ByteBuf,
         allocator: ByteBufAllocator,
     ): ByteBuf {
-        if (!partial.isReadable) return bytes
-        val joined = allocator.buffer(partial.readableBytes() + bytes.readableBytes())
-        joined.writeBytes(partial).writeBytes(bytes)
-        partial.release()
-        bytes.release()
-        return joined
+        val copy = if (buffer.isReadable) allocator.buffer(buffer.readableBytes()).writeBytes(buffer) else null
+        buffer.release()
+        return copy ?: Unpooled.EMPTY_BUFFER
     }
 
-    /** Returns the index after the last empty line, or -1. */
-    private fun endOfLastEvent(buffer: ByteBuf): Int {
+    /** Returns the index after the last empty line, or -1; the first [scannedBytes] hold no empty line. */
+    private fun endOfLastEvent(
+        buffer: ByteBuf,
+        scannedBytes: Int,
+    ): Int {
         var index = buffer.writerIndex() - 1
-        while (index > buffer.readerIndex()) {
+        val first = buffer.readerIndex() + maxOf(1, scannedBytes)
+        while (index >= first) {
             if (buffer.getByte(index) == NEWLINE && isLineEnd(buffer, index - 1)) return index + 1
             index--
         }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -13,25 +13,9 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponse
 
-/** Time without stream content after which an upstream that has departed or is suspected unhealthy is abandoned. */
-private const val SUSPECTED_STREAM_TIMEOUT_MILLIS = 1_500L
-
-/** Minimum time without stream content after which an upstream is abandoned without any other indication. */
-private const val STREAM_TIMEOUT_MILLIS = 3_000L
-
-/**
- * Part of the latency target that may pass without stream content before an upstream suspected unhealthy is abandoned.
- */
-private const val SUSPECTED_STALL_TARGET_RATIO = 0.45
-
 /** Minimum time before the deadline for another attempt; with less, a response cannot arrive in time. */
 private const val MIN_REMAINING_MILLIS = 20L
 
-/**
- * Time without a response after which the first attempt of a service call is retried, relative to the latency target.
- */
-private const val RETRY_AFTER_TARGET_RATIO = 1.2
-
 /** Divisor of the latency target that yields a stream's maximum wait for an upstream with free capacity. */
 private const val STREAM_MAX_WAIT_DIVISOR = 3
 
@@ -84,7 +68,7 @@
     private var attempt: Attempt? = null
     var sentAtMillis = 0L
         private set
-    private var lastContentAtMillis = 0L
+    private var lastProgressAtMillis = 0L
     private var response: HttpResponse? = null
     private var callerDisconnected = false
     private var mayHaveRun = false
@@ -126,7 +110,7 @@
         response = null
         sentAtMillis = now
         waitedMillis += now - waitingSinceMillis
-        lastContentAtMillis = now
+        lastProgressAtMillis = now
         attempts++
         possibleRuns++
         upstream.requestStarted()
@@ -159,20 +143,9 @@
     private fun isStalled(now: Long): Boolean {
         val upstream = target ?: return false
         if (!route.retryable || !relay.canResume) return false
-        val sinceContentMillis = now - maxOf(lastContentAtMillis, sentAtMillis)
-        return when {
-            !route.streaming ->
-                sinceContentMillis > route.latencyTargetMillis * RETRY_AFTER_TARGET_RATIO &&
-                    attempts == 1
-            upstream.departed -> sinceContentMillis > SUSPECTED_STREAM_TIMEOUT_MILLIS
-            upstream.isSuspectedUnhealthy ->
-                sinceContentMillis >
-                    minOf(
-                        SUSPECTED_STREAM_TIMEOUT_MILLIS,
-                        (route.latencyTargetMillis * SUSPECTED_STALL_TARGET_RATIO).toLong(),
-                    )
-            else -> sinceContentMillis > maxOf(STREAM_TIMEOUT_MILLIS, route.latencyTargetMillis)
-        }
+        val timeoutMillis =
+            route.stallTimeoutMillis(upstream.health, resuming = events > 0, firstAttempt = attempts == 1)
+        return timeoutMillis != null && now - lastProgressAtMillis > timeoutMillis
     }
 
     private fun abandonUnresponsiveUpstream() {
@@ -210,13 +183,20 @@
 
     override fun onContent(bytes: ByteBuf) {
         val head = response
-        lastContentAtMillis = context.nowMillis()
         target?.bytesReceived()
         if (head == null || phase != ExchangePhase.Sent) {
             bytes.release()
-        } else if (!relay.receiveContent(head, bytes)) {
-            onFailed(AttemptEnd.Broken)
+            return
         }
+        val eventsBefore = events
+        val valid = relay.receiveContent(head, bytes)
+        // An upstream that is stalled may still send bytes now and then, but no complete events.
+        if (!relay.isStream(head) || events > eventsBefore) lastProgressAtMillis = context.nowMillis()
+        if (valid) return
+        // The body cannot belong to a valid response; a refusal counts regardless of its body.
+        val refusal = head.refusal(context.headerNames) ?: return onFailed(AttemptEnd.Broken)
+        attempt?.cancel()
+        handleRefusal(head, refusal)
     }
 
     override fun onReadComplete() = relay.flush()
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
@@ -11,7 +11,10 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 
-/** Maximum size of a plain response that is buffered; a larger one is forwarded as it arrives. */
+/**
+ * Maximum size of a plain response that is buffered. A larger one is forwarded as it arrives, unless it may not reach
+ * the caller; in that case it is invalid.
+ */
 private const val MAX_BUFFERED_BYTES = 64 * 1024
 
 /** Number of buffer components beyond which they are consolidated into one. */
@@ -46,7 +49,8 @@
         bytes: ByteBuf,
     ): Boolean {
         if (isStream(head)) return receiveEvents(head, bytes)
-        if (!started || request.route.streaming) bufferBody(head, bytes) else caller.write(bytes)
+        if (!started || request.route.streaming) return bufferBody(head, bytes)
+        caller.write(bytes)
         return true
     }
 
@@ -68,14 +72,15 @@
     private fun bufferBody(
         head: HttpResponse,
         bytes: ByteBuf,
-    ) {
+    ): Boolean {
         val buffer = buffered ?: Unpooled.compositeBuffer(MAX_BUFFER_COMPONENTS).also { buffered = it }
         buffer.addComponent(true, bytes)
-        val mustBuffer = started || head.refusal(headerNames) != null
-        if (buffer.readableBytes() <= MAX_BUFFERED_BYTES || mustBuffer) return
+        if (buffer.readableBytes() <= MAX_BUFFERED_BYTES) return true
+        if (request.route.streaming || head.refusal(headerNames) != null) return false
         buffered = null
         start(head)
         caller.write(buffer)
+        return true
     }
 
     private fun start(head: HttpResponse) {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -41,6 +41,12 @@
 /** Maximum number of idle connections to one upstream, whose connection limit is shared by the hosts. */
 private const val MAX_IDLE_CONNECTIONS = 12
 
+/** Maximum number of interim responses before a response; an upstream that sends more is broken. */
+private const val MAX_INTERIM_RESPONSES = 8
+
+/** Maximum body size of a response to another request that is skipped on the way to the awaited one. */
+private const val MAX_SKIPPED_BYTES = 64 * 1024
+
 private const val MAX_LINE_BYTES = 8_192
 private const val MAX_HEADER_BYTES = 65_536
 private const val MAX_CHUNK_BYTES = 65_536
@@ -219,6 +225,8 @@
         private var reusable = true
         private var broken = false
         private var written = false
+        private var interimResponses = 0
+        private var skippedBytes = 0
 
         fun isUsable(now: Long) = channel.isActive && now - idleSinceMillis < keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS
 
@@ -232,6 +240,8 @@
             response = null
             received = false
             written = false
+            interimResponses = 0
+            skippedBytes = 0
             next.attachTo(channel)
             channel.config().isAutoRead = true
             channel.writeAndFlush(next.request).addListener { written = it.isSuccess }
@@ -249,19 +259,23 @@
                     ReferenceCountUtil.release(message)
                     channel.close()
                 }
-                message is HttpResponse && message.decoderResult().isFailure -> closeAsBroken(message)
+                message is HttpResponse && message.decoderResult().isFailure -> rejectMessage(message)
                 message is HttpResponse -> {
                     receiveHead(current, message)
                     if (message is HttpContent) receiveBody(current, message)
                 }
-                message is HttpContent && message.decoderResult().isFailure -> closeAsBroken(message)
+                message is HttpContent && message.decoderResult().isFailure -> rejectMessage(message)
                 message is HttpContent -> receiveBody(current, message)
                 else -> ReferenceCountUtil.release(message)
             }
         }
 
-        private fun closeAsBroken(message: Any) {
+        private fun rejectMessage(message: Any) {
             ReferenceCountUtil.release(message)
+            closeAsBroken()
+        }
+
+        private fun closeAsBroken() {
             broken = true
             channel.close()
         }
@@ -280,6 +294,7 @@
                 )
             if (ignoringResponse) {
                 if (!informational) reusable = false
+                if (informational && ++interimResponses > MAX_INTERIM_RESPONSES) closeAsBroken()
                 return
             }
             response = head
@@ -296,7 +311,9 @@
             content: HttpContent,
         ) {
             if (ignoringResponse) {
+                skippedBytes += content.content().readableBytes()
                 content.release()
+                if (skippedBytes > MAX_SKIPPED_BYTES) closeAsBroken()
                 return
             }
             if (current.ended) {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
@@ -87,6 +87,14 @@
 
     val isSuspectedUnhealthy: Boolean get() = unansweredMillis > SUSPECT_AFTER_MILLIS
 
+    val health: UpstreamHealth
+        get() =
+            when {
+                departed -> UpstreamHealth.Departed
+                isSuspectedUnhealthy -> UpstreamHealth.SuspectedUnhealthy
+                else -> UpstreamHealth.Responsive
+            }
+
     /** Returns the estimated number of the upstream's requests from this and other hosts. */
     fun estimatedLoad(): Int {
         val reported = load?.takeIf { nowMillis() - loadReportedAtMillis < LOAD_VALID_MILLIS } ?: return inFlight
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -0,0 +1,192 @@
+/*
+ * A gateway over loopback sockets with its routing tables and fake upstreams, shared by the gateway's tests.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.fleet.CallerLimits
+import io.carawaytrack.fleet.Catalog
+import io.carawaytrack.fleet.CatalogOrganisation
+import io.carawaytrack.fleet.CatalogPool
+import io.carawaytrack.fleet.CatalogRoute
+import io.carawaytrack.fleet.EngineTraits
+import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.fleet.KnownUpstream
+import io.carawaytrack.fleet.PoolShare
+import io.carawaytrack.limits.RetrySettings
+import io.carawaytrack.model.HostPort
+import io.carawaytrack.model.OrganisationName
+import io.carawaytrack.model.PoolName
+import io.carawaytrack.model.UpstreamId
+import io.carawaytrack.model.ZoneName
+import io.netty.channel.nio.NioEventLoopGroup
+import org.junit.jupiter.api.AfterEach
+import java.io.OutputStream
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.TimeUnit
+
+internal val headerNames =
+    HeaderNames(
+        attemptId = "x-attempt",
+        deadlineMillis = "x-deadline",
+        expectedUpstream = "x-expect",
+        organisation = "x-organisation",
+        model = "x-model",
+        tokenUsage = "x-usage",
+        promptParts = "x-parts",
+        lengthHint = "x-length",
+        session = "x-session",
+        urgency = "x-urgency",
+        signature = "x-seal",
+        notExecuted = "x-not-executed",
+        load = "x-load",
+        coldMillis = "x-cold",
+        confidence = "x-confidence",
+        reserved = setOf("x-expect", "x-organisation", "x-urgency"),
+    )
+
+internal const val STREAM_HEAD = "HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nTransfer-Encoding: chunked\n\n"
+
+/** A gateway and its fake upstreams, started for each test. */
+internal abstract class GatewayFixture {
+    private val group = NioEventLoopGroup(1)
+    protected val callers = ServerSocket(0).use { HostPort("127.0.0.1", it.localPort) }
+    protected val upstreams = ArrayList<FakeUpstream>()
+    protected val gateway =
+        Gateway(
+            GatewaySettings(callers, ZoneName("a"), RetrySettings(retryRatio = 1.0, minRetries = 100)),
+            headerNames,
+            group,
+            FleetKnowledge(upstreams = { emptyList() }, rolloutElapsedMillis = { 0 }),
+        ) { nowMillis() }
+
+    init {
+        val tick = { gateway.tick() }
+        group.next().scheduleAtFixedRate(tick, GATEWAY_TICK_MILLIS, GATEWAY_TICK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun nowMillis() = System.nanoTime() / 1_000_000
+
+    private fun route(
+        name: String,
+        streaming: Boolean = false,
+        idempotent: Boolean = true,
+        targetMillis: Long = 10_000,
+    ) = CatalogRoute(
+        name = name,
+        host = "shop.example",
+        pathPrefix = "/$name/",
+        idempotent = idempotent,
+        streaming = streaming,
+        resumable = streaming && idempotent,
+        timeoutMillis = 15_000,
+        latencyTargetMillis = targetMillis,
+        pauseTargetMillis = 1_000,
+        priority = 0,
+        models = emptyList(),
+        shares = listOf(PoolShare(PoolName(if (streaming) "llm" else "stock"), 1)),
+        maxAttempts = 3,
+        public = false,
+        sticky = false,
+    )
+
+    private val catalog =
+        Catalog(
+            version = 1,
+            routes =
+                listOf(
+                    route("lookup"),
+                    route("pay", idempotent = false),
+                    route("draft", streaming = true),
+                    route("oneoff", streaming = true, idempotent = false),
+                    route("prompt", streaming = true, targetMillis = 400),
+                ),
+            pools = listOf("stock", "llm").map { pool(it) }.associateBy { it.name },
+            organisations = listOf(CatalogOrganisation(OrganisationName("stalls"), setOf("k1"), priority = null)),
+            keysRequired = true,
+            limits = CallerLimits(maxBodyBytes = 1_000),
+        )
+
+    private fun pool(name: String) = CatalogPool(
+        name = PoolName(name),
+        healthPath = "/",
+        maxConnections = 10,
+        coldStartMillis = 0,
+        coldRequestsPerSecond = 0.0,
+        engine = if (name == "llm") EngineTraits(8, 1_000, emptyList()) else null,
+    )
+
+    protected fun onLoop(action: () -> Unit) {
+        group.next().submit(action).get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+    }
+
+    /** Starts upstreams that all serve the pools "stock" and "llm", the first one in the gateway's own zone. */
+    protected fun serve(vararg responders: (RawMessage, OutputStream, Socket) -> Boolean) {
+        responders.forEachIndexed { index, responder ->
+            val upstream = FakeUpstream(responder)
+            upstreams += upstream
+            listOf("stock", "llm").forEach { pool -> announce("$pool-$index", pool, upstream, index) }
+        }
+        onLoop { gateway.apply(catalog) }
+    }
+
+    private fun announce(
+        id: String,
+        pool: String,
+        fake: FakeUpstream,
+        index: Int,
+    ) {
+        val address = if (pool == "stock") fake.address else fake.address.copy(host = "localhost")
+        val upstream =
+            FleetUpstream(
+                id = UpstreamId(id),
+                pool = PoolName(pool),
+                address = address,
+                zone = ZoneName(if (index == 0) "a" else "b"),
+                version = "v1",
+                slots = 8,
+                draining = false,
+                coldMillis = 0,
+                sequence = 1,
+                startedAtMillis = 1,
+            )
+        onLoop { gateway.updateUpstream(KnownUpstream(upstream, nowMillis())) }
+    }
+
+    protected fun request(
+        path: String,
+        body: String = "",
+        headers: String = "",
+        key: String = "k1",
+        deadlineMillis: Int = 10_000,
+    ) = "POST $path HTTP/1.1\nHost: shop.example\nx-attempt: id1\nx-deadline: $deadlineMillis\n" +
+        "Authorization: Bearer $key\n${headers}Content-Length: ${body.length}\n\n$body"
+
+    protected fun exchange(text: String): RawMessage? = FakeCaller(callers).use { caller ->
+        caller.send(text)
+        caller.response()
+    }
+
+    protected fun fullResponse(
+        status: String,
+        body: String,
+        headers: String = "x-seal: s\n",
+    ) = "HTTP/1.1 $status\nx-attempt: id1\n${headers}Content-Length: ${body.length}\n\n$body"
+
+    protected fun event(id: Int): String {
+        val event = "id: $id\ndata: $id\n\n"
+        return "${event.length.toString(16)}\n".replace("\n", "\r\n") + event + "\r\n"
+    }
+
+    protected fun OutputStream.raw(text: String) {
+        write(text.encodeToByteArray())
+        flush()
+    }
+
+    @AfterEach
+    fun stop() {
+        gateway.close()
+        upstreams.forEach { it.close() }
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS).get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+    }
+}
