Share load reports between hosts, and consider few engines a request

An upstream reports its load with its responses, so a host learns it at the rate of its own requests; with 35 hosts a report is older than the requests that it counts. Single engines were overloaded, 10 to 20 hosts at a time left them as silent (up to 64 times in 2 s), and their prompts were read again elsewhere.

A host adds its own requests since the report, whoever received it. A request considers the engines that have its prefix and two random ones: all hosts see the same old reports and would otherwise all choose the cheapest engine. A bucket for cold engines that has not been used for long starts at a random level, since 35 full buckets exceed an engine's rate at once. UpstreamStateTest's case of a single bucket changes with that: its first request may have to wait; the sum over all hosts, which is the bound, is now tested.

Ruled out: losing requests that fail on any replica (10 % of the lookups answer 500 by their path wherever they run).

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -145,6 +145,11 @@
         rollouts.recordOutcome(rollout, exchange.request.route.name, upstream.version, good, tookMillis)
     }
 
+    override fun recordLoad(
+        upstream: UpstreamState,
+        reported: ReportedLoad,
+    ) = upstreams.recordLoad(upstream, reported)
+
     override fun attemptAbandoned(exchange: Exchange) {
         openAttempt(exchange)?.let(rollouts::recordAbandoned)
         if (exchange.target != null && !exchange.hasResponseHead) recordWait(exchange)
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -163,7 +163,7 @@
         val upstream = target ?: return
         upstream.bytesReceived()
         val headers = response.headers()
-        reportedLoad(headers[context.headerNames.load])?.let(upstream::applyLoadReport)
+        reportedLoad(headers[context.headerNames.load])?.let { context.recordLoad(upstream, it) }
         this.response = response
         firstByteMillis = firstByteMillis ?: (context.nowMillis() - request.arrivedAtMillis)
         if (!response.isSuccess()) return
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
@@ -67,6 +67,12 @@
         tookMillis: Long,
     )
 
+    /** Records the load that an upstream reported with a response. */
+    fun recordLoad(
+        upstream: UpstreamState,
+        reported: ReportedLoad,
+    )
+
     /** Handles that the exchange abandons its current attempt before a response is complete. */
     fun attemptAbandoned(exchange: Exchange)
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -17,6 +17,7 @@
 import io.carawaytrack.fleet.RolloutBounds
 import io.carawaytrack.fleet.RolloutTally
 import io.carawaytrack.fleet.RouteMatch
+import io.carawaytrack.fleet.UpstreamLoad
 import io.carawaytrack.limits.RetrySettings
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Execution
@@ -113,6 +114,12 @@
     /** Handles the deregistration of an upstream. */
     public fun removeUpstream(deregistration: Deregistration)
 
+    /** Applies a load report that another host received from an upstream. */
+    public fun applyLoad(load: UpstreamLoad)
+
+    /** Returns the load reports that upstreams sent to this host since the last call, the newest one of each. */
+    public fun takeLoads(): List<UpstreamLoad>
+
     /** Sets the number of [hosts] that share the upstreams' limits. */
     public fun setHostCount(hosts: Int)
 
@@ -196,6 +203,10 @@
         if (upstreams.remove(deregistration)) logEvent("upstream_gone", mapOf("upstream" to deregistration.id.value))
     }
 
+    override fun applyLoad(load: UpstreamLoad) = upstreams.applyLoad(load)
+
+    override fun takeLoads(): List<UpstreamLoad> = upstreams.takeLoads()
+
     override fun setHostCount(hosts: Int) {
         upstreams.hosts = maxOf(1, hosts)
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Placement.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Placement.kt
@@ -7,11 +7,16 @@
  * prompt parts that it has not cached, and the transfer to another availability zone. The cheapest candidate is
  * selected. Rendezvous hashing maps each shared prefix to one preferred engine. All hosts arrive at the same engine
  * without coordination, so that the prefix is processed once and not on every engine.
+ *
+ * All hosts see the same load reports, which are several requests old. If each selected the cheapest of all engines,
+ * they would overload it before its next report. A request therefore compares only the engines that have its prefix
+ * with two random ones.
  */
 package io.carawaytrack.gateway
 
 import com.dynatrace.hash4j.hashing.Hashing
 import io.carawaytrack.model.UpstreamId
+import kotlin.random.Random
 
 /** Cost of a request on an engine whose slots are all in use; it is proportional to the load. */
 private const val FULL_ENGINE_MILLIS = 400.0
@@ -39,6 +44,9 @@
 /** Cost of an upstream whose announcement is overdue, for each second beyond [NORMAL_ANNOUNCEMENT_GAP_MILLIS]. */
 private const val OVERDUE_ANNOUNCEMENT_MILLIS_PER_SECOND = 300.0
 
+/** Number of random engines that a request considers besides those that have its shared prefix. */
+private const val RANDOM_ENGINES = 2
+
 /** Longest normal interval between two announcements of an upstream. */
 private const val NORMAL_ANNOUNCEMENT_GAP_MILLIS = 2_200L
 
@@ -63,14 +71,18 @@
     val sinceAnnouncementMillis: Long = 0,
 )
 
-/** Returns the cheapest of [candidates] for [demand], or null when there are no candidates. */
+/** Returns the cheapest of the [candidates] that [demand] considers, or null when there are no candidates. */
 public fun selectCandidate(
     candidates: List<Candidate>,
     demand: PromptDemand,
+    random: Random = Random.Default,
 ): Candidate? {
     if (candidates.size <= 1) return candidates.firstOrNull()
     val preferred = demand.sharedPrefixId?.let { sharedPrefixId -> preferredEngine(sharedPrefixId, candidates) }
-    return candidates.minByOrNull { it.costMillis(demand, isPreferred = it.id == preferred) }
+    val (withPrefix, others) =
+        candidates.partition { !it.engine || it.id == preferred || demand.sharedPrefixId in it.cachedParts }
+    val considered = withPrefix + others.shuffled(random).take(RANDOM_ENGINES)
+    return considered.minByOrNull { it.costMillis(demand, isPreferred = it.id == preferred) }
 }
 
 /** Returns the engine that all hosts prefer for [sharedPrefixId], independent of their own state. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
@@ -10,6 +10,7 @@
 import io.carawaytrack.fleet.FleetRolloutPhase
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.fleet.KnownUpstream
+import io.carawaytrack.fleet.UpstreamLoad
 import io.carawaytrack.model.PoolName
 import io.carawaytrack.model.UpstreamId
 import io.carawaytrack.model.ZoneName
@@ -44,8 +45,14 @@
     private val connections: UpstreamConnections,
     private val nowMillis: () -> Long,
 ) {
+    private class TimedReport(
+        val report: ReportedLoad,
+        val atMillis: Long,
+    )
+
     private val states = LinkedHashMap<UpstreamId, UpstreamState>()
     private val promptCaches = HashMap<UpstreamId, PromptCacheEstimate>()
+    private val ownReports = LinkedHashMap<UpstreamId, TimedReport>()
     private var view = FleetView()
 
     /** Number of hosts that share an upstream's limits. */
@@ -98,6 +105,30 @@
         connections.closeIdle(state.upstream.address)
     }
 
+    /** Records the load that [upstream] reported to this host, and keeps it for the other hosts. */
+    fun recordLoad(
+        upstream: UpstreamState,
+        reported: ReportedLoad,
+    ) {
+        upstream.applyLoadReport(reported)
+        ownReports[upstream.upstream.id] = TimedReport(reported, nowMillis())
+    }
+
+    /** Applies a load report that another host received. */
+    fun applyLoad(load: UpstreamLoad) {
+        states[load.id]?.applyLoadReport(ReportedLoad(load.running, load.waiting), load.ageMillis)
+    }
+
+    /** Returns the newest load report of each upstream since the last call. */
+    fun takeLoads(): List<UpstreamLoad> {
+        val taken =
+            ownReports.map { (id, timed) ->
+                UpstreamLoad(id, timed.report.running, timed.report.waiting, nowMillis() - timed.atMillis)
+            }
+        ownReports.clear()
+        return taken
+    }
+
     /** Updates the time of the last announcement of each upstream. */
     fun refresh(announcements: Collection<KnownUpstream>) = announcements.forEach { known ->
         states[known.upstream.id]?.takeIf { it.announcedAtMillis < known.announcedAtMillis }?.applyAnnouncement(known)
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
@@ -1,12 +1,13 @@
 /*
- * State of one upstream on this host beyond its announcements: this host's own requests, the load reported in
- * responses, and whether it responds at all. Load reports are outdated when they arrive, and other hosts receive the
- * same ones, so this host adds the requests that it has started and ended since the last report.
+ * State of one upstream on this host beyond its announcements: this host's own requests, the load that it reported to
+ * this or another host, and whether it responds at all. Load reports are outdated when they arrive, so this host adds
+ * the requests that it has started and ended since the last report.
  */
 package io.carawaytrack.gateway
 
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.KnownUpstream
+import kotlin.random.Random
 
 /** Age beyond which a load report is no longer meaningful: the duration of several requests. */
 private const val LOAD_VALID_MILLIS = 3_000L
@@ -33,13 +34,18 @@
 internal data class ReportedLoad(
     val running: Int,
     val waiting: Int,
-    val slots: Int,
+)
+
+/** Requests that this host started (positive) or ended (negative) at one time. */
+private class LoadChange(
+    val atMillis: Long,
+    val requests: Int,
 )
 
 internal fun reportedLoad(header: String?): ReportedLoad? {
     val numbers = header?.split(',')?.map { it.trim().toIntOrNull() ?: return null } ?: return null
     if (numbers.size < LOAD_FIELD_COUNT) return null
-    return ReportedLoad(numbers[0], numbers[1], numbers[2])
+    return ReportedLoad(numbers[0], numbers[1])
 }
 
 private const val LOAD_FIELD_COUNT = 3
@@ -47,6 +53,7 @@
 internal class UpstreamState(
     known: KnownUpstream,
     private val nowMillis: () -> Long,
+    private val random: () -> Double = Random::nextDouble,
 ) {
     var upstream: FleetUpstream = known.upstream
         private set
@@ -73,10 +80,10 @@
     private var pausedUntilMillis = 0L
     private var fullUntilMillis = 0L
     private var load: ReportedLoad? = null
-    private var loadReportedAtMillis = 0L
-    private var inFlightAtReport = 0
-    private var coldStartTokens = 1.0
-    private var coldStartTokensAtMillis = nowMillis()
+    private var loadReportedAtMillis = Long.MIN_VALUE
+    private val loadChanges = ArrayDeque<LoadChange>()
+    private var coldStartTokens = 0.0
+    private var coldStartTokensAtMillis: Long? = null
 
     val isCold: Boolean get() = nowMillis() < maxOf(announcedColdUntilMillis, assumedColdUntilMillis)
     val isPaused: Boolean get() = nowMillis() < pausedUntilMillis
@@ -98,7 +105,8 @@
     /** Returns the estimated number of the upstream's requests from this and other hosts. */
     fun estimatedLoad(): Int {
         val reported = load?.takeIf { nowMillis() - loadReportedAtMillis < LOAD_VALID_MILLIS } ?: return inFlight
-        return maxOf(inFlight, reported.running + reported.waiting + inFlight - inFlightAtReport)
+        val changed = loadChanges.sumOf { if (it.atMillis > loadReportedAtMillis) it.requests else 0 }
+        return maxOf(inFlight, reported.running + reported.waiting + changed)
     }
 
     fun applyAnnouncement(known: KnownUpstream) {
@@ -115,11 +123,13 @@
 
     /**
      * Takes a token for a request to a cold upstream from this host's bucket, which is refilled at a rate of
-     * [perSecond]; returns false when the bucket is empty.
+     * [perSecond]; returns false while it holds less than one. A bucket that has not been used for long starts at a
+     * random level: if it were full on every host, all hosts together would exceed the upstream's rate at once.
      */
     fun tryColdStart(perSecond: Double): Boolean {
         val now = nowMillis()
-        coldStartTokens = minOf(1.0, coldStartTokens + (now - coldStartTokensAtMillis) * perSecond / MILLIS_PER_SECOND)
+        val added = coldStartTokensAtMillis?.let { (now - it) * perSecond / MILLIS_PER_SECOND }
+        coldStartTokens = if (added == null || added >= 1.0) random() else minOf(1.0, coldStartTokens + added)
         coldStartTokensAtMillis = now
         if (coldStartTokens < 1.0) return false
         coldStartTokens -= 1.0
@@ -129,11 +139,21 @@
     fun requestStarted() {
         if (inFlight == 0) unansweredSinceMillis = nowMillis()
         inFlight++
+        recordLoadChange(1)
     }
 
     fun requestEnded() {
         inFlight--
         if (inFlight == 0) unansweredSinceMillis = null
+        recordLoadChange(-1)
+    }
+
+    private fun recordLoadChange(requests: Int) {
+        val now = nowMillis()
+        while (loadChanges.firstOrNull()?.let { now - it.atMillis > LOAD_VALID_MILLIS } == true) {
+            loadChanges.removeFirst()
+        }
+        loadChanges.addLast(LoadChange(now, requests))
     }
 
     /** Records that bytes arrived from the upstream. */
@@ -141,10 +161,15 @@
         lastByteAtMillis = nowMillis()
     }
 
-    fun applyLoadReport(report: ReportedLoad) {
+    /** Applies a load report that arrived [ageMillis] ago at this or another host, unless a newer one is known. */
+    fun applyLoadReport(
+        report: ReportedLoad,
+        ageMillis: Long = 0,
+    ) {
+        val reportedAtMillis = nowMillis() - ageMillis
+        if (reportedAtMillis < loadReportedAtMillis) return
         load = report
-        loadReportedAtMillis = nowMillis()
-        inFlightAtReport = inFlight
+        loadReportedAtMillis = reportedAtMillis
     }
 
     fun recordSuccess() {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/UpstreamStateTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/UpstreamStateTest.kt
@@ -16,7 +16,13 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isIn
 import strikt.assertions.isTrue
+import kotlin.random.Random
+
+/** Requests per second that a cold upstream tolerates, and the most that may reach it within one second. */
+private const val COLD_PER_SECOND = 16.0
+private const val MOST_COLD_IN_ONE_SECOND = 29
 
 class UpstreamStateTest {
     private var nowMillis = 10_000L
@@ -77,7 +83,9 @@
 
     @Test
     fun `requests to a cold upstream are limited to its rate`() {
-        val state = UpstreamState(known(nowMillis), { nowMillis })
+        val state = UpstreamState(known(nowMillis), { nowMillis }, random = { 0.9 })
+        expectThat(state.tryColdStart(perSecond = 2.0)).isFalse()
+        nowMillis += 60
         expectThat(state.tryColdStart(perSecond = 2.0)).isTrue()
         nowMillis += 400
         expectThat(state.tryColdStart(perSecond = 2.0)).isFalse()
@@ -85,12 +93,55 @@
         expectThat(state.tryColdStart(perSecond = 2.0)).isTrue()
     }
 
+    private class ColdCase(
+        val hosts: Int,
+        val idleMillis: Long,
+    )
+
+    @TestFactory
+    fun `all hosts together keep to the rate of a cold upstream in every second`(): List<DynamicTest> = listOf(
+        ColdCase(hosts = 9, idleMillis = 0),
+        ColdCase(hosts = 35, idleMillis = 0),
+        ColdCase(hosts = 35, idleMillis = 60_000),
+        ColdCase(hosts = 341, idleMillis = 60_000),
+    ).map { case ->
+        dynamicTest("${case.hosts} hosts, idle for ${case.idleMillis} ms") {
+            val random = Random(case.hosts)
+            val states = List(case.hosts) { UpstreamState(known(nowMillis), { nowMillis }, random::nextDouble) }
+            nowMillis += case.idleMillis
+            // Each host has more requests than it may send: the upstream is the cheapest one for all of them.
+            val sentAtMillis = ArrayList<Long>()
+            repeat(150) {
+                nowMillis += 20
+                states.filter { it.tryColdStart(COLD_PER_SECOND / case.hosts) }.forEach { sentAtMillis += nowMillis }
+            }
+            val mostInOneSecond = sentAtMillis.maxOf { from -> sentAtMillis.count { it in from..<from + 1_000 } }
+            expectThat(mostInOneSecond).isIn((COLD_PER_SECOND / 2).toInt()..MOST_COLD_IN_ONE_SECOND)
+        }
+    }
+
     @Test
     fun `own requests since a load report are added to it`() {
         val state = UpstreamState(known(nowMillis), { nowMillis })
         state.requestStarted()
-        state.applyLoadReport(ReportedLoad(running = 10, waiting = 2, slots = 64))
+        state.applyLoadReport(ReportedLoad(running = 10, waiting = 2))
+        nowMillis += 10
         repeat(3) { state.requestStarted() }
         expectThat(state.estimatedLoad()).isEqualTo(15)
     }
+
+    @Test
+    fun `a report to another host counts from its age, and an older one is ignored`() {
+        val state = UpstreamState(known(nowMillis), { nowMillis })
+        state.requestStarted()
+        nowMillis += 300
+        repeat(2) { state.requestStarted() }
+        // The report includes the first request, but not the two that started after it.
+        state.applyLoadReport(ReportedLoad(running = 20, waiting = 1), ageMillis = 200)
+        expectThat(state.estimatedLoad()).isEqualTo(23)
+        state.applyLoadReport(ReportedLoad(running = 5, waiting = 0), ageMillis = 900)
+        expectThat(state.estimatedLoad()).isEqualTo(23)
+        nowMillis += 60_000
+        expectThat(state.estimatedLoad()).isEqualTo(3)
+    }
 }
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -15,6 +15,7 @@
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.fleet.KnownUpstream
 import io.carawaytrack.fleet.RolloutTally
+import io.carawaytrack.fleet.UpstreamLoad
 import io.carawaytrack.fleet.UpstreamRegistry
 import io.carawaytrack.fleet.encode
 import io.carawaytrack.model.ErrorKind
@@ -64,11 +65,13 @@
  * @property viewChanged a newer replicated state is known
  * @property upstreamChanged an upstream announced a change that affects routing
  * @property upstreamRemoved an upstream has deregistered or expired
+ * @property loadReported another host has received a load report from an upstream
  */
 public class MeshEvents(
     public val viewChanged: (FleetView) -> Unit,
     public val upstreamChanged: (KnownUpstream) -> Unit,
     public val upstreamRemoved: (Deregistration) -> Unit,
+    public val loadReported: (UpstreamLoad) -> Unit = {},
 )
 
 /** Connects this host to its fleet; must only be used on the event loop. */
@@ -82,6 +85,9 @@
     /** Time since each roll-out began. */
     public val rolloutClock: RolloutClock
 
+    /** Exchange of load reports with the other hosts. */
+    public val loads: LoadExchange
+
     /** Number of known hosts that serve requests; at least 1. */
     public val hostCount: Int
 
@@ -164,6 +170,17 @@
     override val upstreams: UpstreamRegistry = UpstreamRegistry(nowMillis)
     private val dissemination = UpstreamDissemination(self.core, upstreams, ::peerLinks, ::coreLinks, events, nowMillis)
 
+    private val loadExchange =
+        MergingLoadExchange(
+            core = self.core,
+            sendToPeers = { message -> message.encode().let { encoded -> peerLinks().forEach { it.send(encoded) } } },
+            sendToCore = { message -> coreLinks().firstOrNull()?.send(message) },
+            loadReported = events.loadReported,
+            nowMillis = nowMillis,
+        )
+
+    override val loads: LoadExchange get() = loadExchange
+
     override var view: FleetView = FleetView()
         private set
 
@@ -250,6 +267,7 @@
         }
         if (now - lastHeartbeatAtMillis >= HEARTBEAT_INTERVAL_MILLIS) sendHeartbeats()
         dissemination.tick()
+        loadExchange.tick()
         peers.hostsToDial(coreLinks().mapNotNull { it.peer?.address }.toSet()).forEach(links::dial)
         core?.let { member ->
             formation.maintain(member, open, coreLinks(), groupExists = leader != null || view.index > 0)
@@ -290,6 +308,7 @@
             is MeshMessage.Heartbeat -> handleHeartbeat(link, message)
             is MeshMessage.Cores -> addCores(message.cores)
             is MeshMessage.Upstreams -> dissemination.receive(link, message)
+            is MeshMessage.Loads -> loadExchange.receive(message)
             is MeshMessage.ViewRequest ->
                 if (view.index > message.haveIndex) {
                     link.send(MeshMessage.View(view, rolloutClock.elapsedMillis()))
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
@@ -11,6 +11,7 @@
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.fleet.RolloutTally
+import io.carawaytrack.fleet.UpstreamLoad
 import io.carawaytrack.model.HostPort
 import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.ZoneName
@@ -86,6 +87,14 @@
         val relay: Boolean = false,
     ) : MeshMessage
 
+    /** Load reports of upstreams; the receiver forwards them to its peers if [relay] is set. */
+    @Serializable
+    @SerialName("l")
+    class Loads(
+        val loads: List<UpstreamLoad>,
+        val relay: Boolean = false,
+    ) : MeshMessage
+
     /** Requests a view newer than [haveIndex]. */
     @Serializable
     @SerialName("q")
