Split the exchange, the upstream connections and the mesh by job

Change: an attempt (Attempt), the failures of an exchange (ExchangeFailures), the longest wait in the queue (beside WaitQueue) and the mesh's settings and callbacks (MeshSettings) stand in files of their own; the code moves unchanged.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -16,12 +16,6 @@
 /** Minimum time before the deadline for another attempt; with less, a response cannot arrive in time. */
 private const val MIN_REMAINING_MILLIS = 20L
 
-/** Divisor of the latency target that yields a stream's maximum wait for an upstream with free capacity. */
-private const val STREAM_MAX_WAIT_DIVISOR = 3
-
-/** Maximum wait of a service call for an upstream with free capacity: most of the time that its callers wait. */
-private const val CALL_MAX_WAIT_MILLIS = 700L
-
 internal class Exchange(
     val request: CallerRequest,
     val pool: CatalogPool?,
@@ -33,8 +27,7 @@
     override val rank: Int get() = request.rank
     override val queuedSinceMillis: Long get() = waitingSinceMillis
     override val onTimeUntilMillis: Long get() = request.arrivedAtMillis + route.latencyTargetMillis
-    override val maxWaitMillis: Long
-        get() = if (route.streaming) route.latencyTargetMillis / STREAM_MAX_WAIT_DIVISOR else CALL_MAX_WAIT_MILLIS
+    override val maxWaitMillis: Long get() = route.maxWaitMillis
 
     var phase = ExchangePhase.Waiting
         private set
@@ -130,14 +123,7 @@
     private fun timeOut() {
         context.attemptAbandoned(this)
         releaseAttempt(cancel = true)
-        val kind = if (hasNotRun) ErrorKind.PoolExhausted else ErrorKind.UpstreamTimeout
-        fail(
-            Failure(
-                kind,
-                execution,
-                "no complete response within ${request.deadlineAtMillis - request.arrivedAtMillis} ms",
-            ),
-        )
+        fail(timedOut(execution, request.deadlineAtMillis - request.arrivedAtMillis))
     }
 
     private fun isStalled(now: Long): Boolean {
@@ -250,13 +236,7 @@
         when {
             callerDisconnected -> abandon()
             refusal == UpstreamRefusal.Rejected && attempts >= MAX_REJECTIONS ->
-                fail(
-                    Failure(
-                        ErrorKind.NoHealthyUpstream,
-                        execution,
-                        "upstreams rejected the request; gave up after $attempts attempts",
-                    ),
-                )
+                fail(rejectedByUpstreams(execution, attempts))
             else -> waitForUpstream()
         }
     }
@@ -278,14 +258,7 @@
         when {
             callerDisconnected -> abandon()
             neverSent || tryRetry() -> waitForUpstream()
-            else ->
-                fail(
-                    Failure(
-                        ErrorKind.UpstreamFailed,
-                        execution,
-                        "the upstream connection failed before a complete response: $end",
-                    ),
-                )
+            else -> fail(brokenOff(execution, end))
         }
     }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -7,7 +7,6 @@
 
 import io.carawaytrack.model.HostPort
 import io.netty.bootstrap.Bootstrap
-import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -16,7 +15,6 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -59,68 +57,6 @@
         .setMaxHeaderSize(MAX_HEADER_BYTES)
         .setMaxChunkSize(MAX_CHUNK_BYTES)
 
-/** Ways in which an attempt ends without a complete response. */
-internal enum class AttemptEnd {
-    /** No connection could be opened, so that nothing was sent. */
-    NotConnected,
-
-    /** A reused connection was closed before any byte of a response; the request may have been executed. */
-    ClosedUnanswered,
-
-    /** The connection failed, or the received data was not a valid response to this request. */
-    Broken,
-}
-
-/** Receives the events of one attempt; all calls are made on the event loop. */
-internal interface AttemptListener {
-    /** Handles the head of a response that carries the attempt's identifier or none. */
-    fun onHead(response: HttpResponse)
-
-    /** Handles a part of the body, which the listener must release. */
-    fun onContent(bytes: ByteBuf)
-
-    /** Handles the end of a complete response. */
-    fun onComplete()
-
-    /** Handles the end of the attempt without a complete response; no further calls follow. */
-    fun onFailed(end: AttemptEnd)
-
-    /** Handles the end of a batch of data that arrived in one read. */
-    fun onReadComplete()
-}
-
-/** An attempt in progress; [cancel] closes its connection, which causes the upstream to cancel the request. */
-internal class Attempt(
-    val request: FullHttpRequest,
-    val attemptIdHeader: String,
-    val listener: AttemptListener,
-) {
-    private var connection: Channel? = null
-    var ended = false
-        private set
-
-    fun attachTo(channel: Channel) {
-        connection = channel
-    }
-
-    fun setReadingPaused(paused: Boolean) {
-        connection?.config()?.isAutoRead = !paused
-    }
-
-    fun end() {
-        ended = true
-        connection = null
-    }
-
-    /** Cancels the attempt; its listener is no longer notified. */
-    fun cancel() {
-        if (ended) return
-        ended = true
-        connection?.close()
-        connection = null
-    }
-}
-
 internal class UpstreamConnections(
     private val group: EventLoopGroup,
     private val nowMillis: () -> Long,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/WaitQueue.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/WaitQueue.kt
@@ -5,9 +5,21 @@
  */
 package io.carawaytrack.gateway
 
+import io.carawaytrack.fleet.CatalogRoute
+
 /** Maximum number of queued requests on one host; beyond it, the least urgent request is refused. */
 private const val MAX_QUEUED_REQUESTS = 512
 
+/** Divisor of the latency target that yields a stream's maximum wait for an upstream with free capacity. */
+private const val STREAM_MAX_WAIT_DIVISOR = 3
+
+/** Maximum wait of a service call for an upstream with free capacity: most of the time that its callers wait. */
+private const val CALL_MAX_WAIT_MILLIS = 700L
+
+/** Maximum time that a request of this route waits for an upstream with free capacity. */
+internal val CatalogRoute.maxWaitMillis: Long
+    get() = if (streaming) latencyTargetMillis / STREAM_MAX_WAIT_DIVISOR else CALL_MAX_WAIT_MILLIS
+
 /**
  * Describes a queued request.
  *
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -316,3 +316,9 @@
         replica?.close()
     }
 }
+
+/** Failure of changes on a host without a disk. */
+internal val noReplica = ErrorKind.NotLeader.notRun("this host has no disk and no replica of the log")
+
+/** Drops the result of a command, which is empty. */
+internal fun Result<ByteArray, Failure>.toUnit(): Result<Unit, Failure> = map { }
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -8,20 +8,15 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.map
 import io.carawaytrack.fleet.Deregistration
 import io.carawaytrack.fleet.FleetCommand
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.FleetView
-import io.carawaytrack.fleet.KnownUpstream
 import io.carawaytrack.fleet.RolloutTally
-import io.carawaytrack.fleet.UpstreamLoad
 import io.carawaytrack.fleet.UpstreamRegistry
 import io.carawaytrack.fleet.encode
-import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.HostPort
-import io.carawaytrack.model.notRun
 import io.carawaytrack.telemetry.event
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.github.oshai.kotlinlogging.Level
@@ -43,37 +38,6 @@
 /** Delay before an unanswered request for a view is retried. */
 private const val VIEW_RETRY_MILLIS = 300L
 
-/**
- * Settings of this host's part of the mesh.
- *
- * @property seeds mesh addresses of the hosts to contact first
- * @property folder data folder; null on a host without a disk
- * @property bootstrap whether the whole fleet starts for the first time
- * @property requiredVoters voters of the core below which no change is accepted
- */
-public data class MeshSettings(
-    val self: PeerInfo,
-    val seeds: List<HostPort>,
-    val folder: Path?,
-    val bootstrap: Boolean,
-    val requiredVoters: Int,
-)
-
-/**
- * Callbacks for mesh events; all are called on the event loop.
- *
- * @property viewChanged a newer replicated state is known
- * @property upstreamChanged an upstream announced a change that affects routing
- * @property upstreamRemoved an upstream has deregistered or expired
- * @property loadReported another host has received a load report from an upstream
- */
-public class MeshEvents(
-    public val viewChanged: (FleetView) -> Unit,
-    public val upstreamChanged: (KnownUpstream) -> Unit,
-    public val upstreamRemoved: (Deregistration) -> Unit,
-    public val loadReported: (UpstreamLoad) -> Unit = {},
-)
-
 /** Connects this host to its fleet; must only be used on the event loop. */
 public interface Mesh : AutoCloseable {
     /** Newest replicated state that this host knows. */
@@ -382,8 +346,4 @@
     }
 }
 
-private val noReplica = ErrorKind.NotLeader.notRun("this host has no disk and no replica of the log")
-
-private fun Result<ByteArray, Failure>.toUnit(): Result<Unit, Failure> = map { }
-
 private fun fieldsOf(peer: PeerInfo): Map<String, Any?> = mapOf("peer" to peer.address.toString(), "core" to peer.core)
--- /dev/null
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshSettings.kt
@@ -0,0 +1,42 @@
+/*
+ * What a host tells its part of the mesh at the start: its settings, and the callbacks for events.
+ */
+package io.carawaytrack.mesh
+
+import io.carawaytrack.fleet.Deregistration
+import io.carawaytrack.fleet.FleetView
+import io.carawaytrack.fleet.KnownUpstream
+import io.carawaytrack.fleet.UpstreamLoad
+import io.carawaytrack.model.HostPort
+import java.nio.file.Path
+
+/**
+ * Settings of this host's part of the mesh.
+ *
+ * @property seeds mesh addresses of the hosts to contact first
+ * @property folder data folder; null on a host without a disk
+ * @property bootstrap whether the whole fleet starts for the first time
+ * @property requiredVoters voters of the core below which no change is accepted
+ */
+public data class MeshSettings(
+    val self: PeerInfo,
+    val seeds: List<HostPort>,
+    val folder: Path?,
+    val bootstrap: Boolean,
+    val requiredVoters: Int,
+)
+
+/**
+ * Callbacks for mesh events; all are called on the event loop.
+ *
+ * @property viewChanged a newer replicated state is known
+ * @property upstreamChanged an upstream announced a change that affects routing
+ * @property upstreamRemoved an upstream has deregistered or expired
+ * @property loadReported another host has received a load report from an upstream
+ */
+public class MeshEvents(
+    public val viewChanged: (FleetView) -> Unit,
+    public val upstreamChanged: (KnownUpstream) -> Unit,
+    public val upstreamRemoved: (Deregistration) -> Unit,
+    public val loadReported: (UpstreamLoad) -> Unit = {},
+)
