Drive the gateway's clock in the tests of stalled and slow streams

Cause: both tests slept for the upstream's pace, so they took seconds and depended on the machine's speed. Change: the fixture's gateway runs on a clock that the test advances, and the upstream sends what the test hands it; the conditions (a byte without an event for more than 3 s, a pause of 1.2 s between events) stay as they were.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/EndlessResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EndlessResponseTest.kt
@@ -8,17 +8,17 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import java.io.OutputStream
+import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 
 private const val PIECE = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 
-/** Interval between two bytes of an upstream that is stalled. */
-private const val TRICKLE_INTERVAL_MILLIS = 100L
-
 internal class EndlessResponseTest : GatewayFixture() {
     /** An upstream sends [start] and then [piece] without end; the caller receives the status [expected]. */
     class Case(
@@ -58,32 +58,49 @@
     ) {
         if (request.start.contains("/draft/")) {
             out.send(STREAM_HEAD)
-            out.raw(event(1) + "0\r\n\r\n")
+            out.raw(event(1) + LAST_CHUNK)
         } else {
             out.send(fullResponse("200 OK", "done"))
         }
     }
 
+    /** What the stalled or slow upstream is to send next; it sends nothing by itself. */
+    private val pieces = LinkedBlockingQueue<String>()
+
+    private fun OutputStream.sendPieces() {
+        while (true) raw(pieces.take())
+    }
+
     @Test
     fun `a stream that stalls but sends a byte now and then is resumed elsewhere`() {
         serve(
-            { _, out, _ ->
-                out.send(STREAM_HEAD)
-                out.raw(event(1))
-                while (true) {
-                    out.raw("1\r\n:\r\n")
-                    Thread.sleep(TRICKLE_INTERVAL_MILLIS)
+            { request, out, _ ->
+                if (request.start.contains("/lookup/")) {
+                    true.also { out.send(fullResponse("200 OK", "done")) }
+                } else {
+                    out.send(STREAM_HEAD)
+                    out.sendPieces()
+                    true
                 }
-                @Suppress("UNREACHABLE_CODE")
-                true
             },
             { _, out, _ ->
                 out.send(STREAM_HEAD)
-                out.raw(event(2) + "0\r\n\r\n")
+                out.raw(event(2) + LAST_CHUNK)
                 true
             },
         )
-        expectThat(exchange(request("/prompt/x"))?.body).isEqualTo("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+        FakeCaller(callers).use { caller ->
+            caller.send(request("/prompt/x"))
+            pieces += event(1)
+            caller.readUntil("data: 1\n\n")
+            repeat(STALLED_STEPS) {
+                pieces += "1\r\n:\r\n"
+                // The gateway has read the byte once it has served another request.
+                exchange(request("/lookup/x"))
+                advance(STALLED_STEP_MILLIS)
+            }
+            expectThat(caller.readUntil(LAST_CHUNK)).contains("id: 2\ndata: 2\n\n")
+        }
     }
 
     @Test
@@ -91,28 +108,33 @@
         serve(
             { _, out, _ ->
                 out.send(STREAM_HEAD)
-                (1..SLOW_EVENTS).forEach { id ->
-                    out.raw(event(id))
-                    Thread.sleep(SLOW_EVENT_INTERVAL_MILLIS)
-                }
-                true.also { out.raw("0\r\n\r\n") }
+                out.sendPieces()
+                true
             },
             { _, out, _ -> true.also { out.send(fullResponse("500 Internal Server Error", "not asked for")) } },
         )
-        expectThat(
-            exchange(request("/prompt/x"))
-                ?.body
-                .orEmpty()
-                .lines()
-                .count { it.startsWith("id: ") },
-        ).isEqualTo(SLOW_EVENTS)
+        FakeCaller(callers).use { caller ->
+            caller.send(request("/prompt/x"))
+            (1..SLOW_EVENTS).forEach { id ->
+                pieces += event(id)
+                expectThat(caller.readUntil("data: $id\n\n")).contains("id: $id\n")
+                repeat(SLOW_EVENT_INTERVAL_MILLIS / GATEWAY_TICK_MILLIS.toInt()) { advance(GATEWAY_TICK_MILLIS) }
+            }
+            pieces += LAST_CHUNK
+            expectThat(caller.readUntil(LAST_CHUNK)).endsWith(LAST_CHUNK)
+        }
         expectThat(upstreams[1].requests.size).isEqualTo(0)
     }
 
     private companion object {
         const val DEADLINE_MILLIS = 10_000
         const val SLOW_EVENTS = 4
-        const val SLOW_EVENT_INTERVAL_MILLIS = 1_200L
+        const val SLOW_EVENT_INTERVAL_MILLIS = 1_200
+
+        /** Steps that add up to more than the longest time without progress on the route, 3 s. */
+        const val STALLED_STEPS = 7
+        const val STALLED_STEP_MILLIS = 500L
+        const val LAST_CHUNK = "0\r\n\r\n"
         const val REFUSAL_HEAD =
             "HTTP/1.1 503 Busy\nx-attempt: id1\nx-not-executed: 1\nTransfer-Encoding: chunked\n\n"
         const val OTHER_HEAD = "HTTP/1.1 200 OK\nx-attempt: id0\nx-seal: s\nTransfer-Encoding: chunked\n\n"
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -24,6 +24,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 internal val headerNames =
     HeaderNames(
@@ -65,7 +66,15 @@
         group.next().scheduleAtFixedRate(tick, GATEWAY_TICK_MILLIS, GATEWAY_TICK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    private fun nowMillis() = System.nanoTime() / 1_000_000
+    private val advancedMillis = AtomicLong()
+
+    private fun nowMillis() = System.nanoTime() / 1_000_000 + advancedMillis.get()
+
+    /** Advances the gateway's clock and lets it check deadlines and stalled attempts. */
+    protected fun advance(millis: Long) {
+        advancedMillis.addAndGet(millis)
+        onLoop { gateway.tick() }
+    }
 
     private fun route(
         name: String,
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/Loopback.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/Loopback.kt
@@ -123,6 +123,17 @@
 
     fun response(): RawMessage? = readMessage(input)
 
+    /** Reads until [text] has arrived, or the connection ends, and returns what was read. */
+    fun readUntil(text: String): String {
+        val read = StringBuilder()
+        while (!read.endsWith(text)) {
+            val byte = input.read()
+            if (byte < 0) break
+            read.append(byte.toChar())
+        }
+        return read.toString()
+    }
+
     override fun close() = socket.close()
 }
 
