Let the test of a stalled stream fail when bytes count as progress

Cause: with the fault put back the test still passed, because the upstream fell silent after its last byte and was left for that. Change: the caller's deadline passes before that silence counts, and the upstream confirms each piece before the clock moves on.

Measured, by putting each fault back on a scratch copy: bytes counted as progress, the test of the stalled stream fails; no allowance for pauses, the test of the slow stream fails. Without the faults the tests of gateway pass.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/EndlessResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EndlessResponseTest.kt
@@ -67,8 +67,15 @@
     /** What the stalled or slow upstream is to send next; it sends nothing by itself. */
     private val pieces = LinkedBlockingQueue<String>()
 
+    private val sent = LinkedBlockingQueue<String>()
+
     private fun OutputStream.sendPieces() {
-        while (true) raw(pieces.take())
+        while (true) pieces.take().let { piece -> raw(piece).also { sent += piece } }
+    }
+
+    private fun sendNow(piece: String) {
+        pieces += piece
+        checkNotNull(sent.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)) { "expected the upstream to send $piece" }
     }
 
     @Test
@@ -90,11 +97,12 @@
             },
         )
         FakeCaller(callers).use { caller ->
-            caller.send(request("/prompt/x"))
-            pieces += event(1)
+            // The deadline passes before the upstream has been silent for long, so only the lack of events can show.
+            caller.send(request("/prompt/x", deadlineMillis = STALLED_DEADLINE_MILLIS))
+            sendNow(event(1))
             caller.readUntil("data: 1\n\n")
             repeat(STALLED_STEPS) {
-                pieces += "1\r\n:\r\n"
+                sendNow("1\r\n:\r\n")
                 // The gateway has read the byte once it has served another request.
                 exchange(request("/lookup/x"))
                 advance(STALLED_STEP_MILLIS)
@@ -116,11 +124,11 @@
         FakeCaller(callers).use { caller ->
             caller.send(request("/prompt/x"))
             (1..SLOW_EVENTS).forEach { id ->
-                pieces += event(id)
+                sendNow(event(id))
                 expectThat(caller.readUntil("data: $id\n\n")).contains("id: $id\n")
                 repeat(SLOW_EVENT_INTERVAL_MILLIS / GATEWAY_TICK_MILLIS.toInt()) { advance(GATEWAY_TICK_MILLIS) }
             }
-            pieces += LAST_CHUNK
+            sendNow(LAST_CHUNK)
             expectThat(caller.readUntil(LAST_CHUNK)).endsWith(LAST_CHUNK)
         }
         expectThat(upstreams[1].requests.size).isEqualTo(0)
@@ -134,6 +142,7 @@
         /** Steps that add up to more than the longest time without progress on the route, 3 s. */
         const val STALLED_STEPS = 7
         const val STALLED_STEP_MILLIS = 500L
+        const val STALLED_DEADLINE_MILLIS = 5_000
         const val LAST_CHUNK = "0\r\n\r\n"
         const val REFUSAL_HEAD =
             "HTTP/1.1 503 Busy\nx-attempt: id1\nx-not-executed: 1\nTransfer-Encoding: chunked\n\n"
