--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -130,7 +130,7 @@
         val upstream = target ?: return false
         if (!route.retryable || !relay.canResume) return false
         val timeoutMillis =
-            route.stallTimeoutMillis(upstream.health, resuming = events > 0, firstAttempt = attempts == 1)
+            route.stallTimeoutMillis(upstream.health, hasEvents = events > 0, firstAttempt = attempts == 1)
         return timeoutMillis != null && now - lastProgressAtMillis > timeoutMillis
     }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Placement.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Placement.kt
@@ -71,7 +71,10 @@
     val sinceAnnouncementMillis: Long = 0,
 )
 
-/** Returns the cheapest of the [candidates] that [demand] considers, or null when there are no candidates. */
+/**
+ * Returns the cheapest of those [candidates] that are considered for [demand], or null when there are none; [random]
+ * draws the engines that are considered without having the prefix.
+ */
 public fun selectCandidate(
     candidates: List<Candidate>,
     demand: PromptDemand,
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/StallTimeoutTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/StallTimeoutTest.kt
@@ -43,7 +43,7 @@
         val name: String,
         val route: CatalogRoute,
         val health: UpstreamHealth,
-        val resuming: Boolean,
+        val hasEvents: Boolean,
         val firstAttempt: Boolean,
         val expectedMillis: Long?,
     )
@@ -60,7 +60,7 @@
         Case("departed engine in a slow stream", patient, UpstreamHealth.Departed, true, true, 1_500),
     ).map { case ->
         dynamicTest(case.name) {
-            expectThat(case.route.stallTimeoutMillis(case.health, case.resuming, case.firstAttempt))
+            expectThat(case.route.stallTimeoutMillis(case.health, case.hasEvents, case.firstAttempt))
                 .isEqualTo(case.expectedMillis)
         }
     }
