Report the core's voters by whether they reply

Three hypotheses: the core has no quorum after the last lost disk, the operator is redirected to a host that can't be reached, or a replica can't open its folder after the loss of power. The logs named single membership changes, but neither the voters that resulted nor which of them were silent, so the first could only be told by replaying all changes by hand.

members_changed now lists the voters and the unresponsive members, and the leader reports caraway_host_voters by state. MetricsTest and NextMemberChangeTest pass; behaviour is unchanged.

--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -14,6 +14,7 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.carawaytrack.consensus.GroupReplica
+import io.carawaytrack.consensus.MemberChange
 import io.carawaytrack.consensus.ReplicaGroup
 import io.carawaytrack.consensus.ReplicaSettings
 import io.carawaytrack.consensus.ReplicaStatus
@@ -96,6 +97,15 @@
 /** Returns whether the replica has received anything from a leader; otherwise it may join under its identity. */
 private fun ReplicaStatus.hasLog(): Boolean = members.isNotEmpty() || commitIndex > 0
 
+private fun fieldsOf(
+    change: MemberChange,
+    status: ReplicaStatus,
+): Map<String, Any?> = mapOf(
+    "change" to change.toString(),
+    "voters" to status.members.filter { it.voter }.map { it.node.value },
+    "unresponsive" to status.members.filterNot { it.isResponsive }.map { it.node.value },
+)
+
 /** Returns the address of the host that holds the replica [node]. */
 internal fun addressOf(node: NodeId): HostPort? = HostPort.parse(node.value.substringBefore('/'))
 
@@ -118,6 +128,13 @@
 
     val status: ReplicaStatus? get() = replica?.status()
 
+    /** Voters by whether they reply; null unless this host leads. */
+    val voters: VoterCounts?
+        get() {
+            val voters = status?.takeIf { it.leading }?.members?.filter { it.voter } ?: return null
+            return VoterCounts(voters.count { it.isResponsive }, voters.count { !it.isResponsive })
+        }
+
     /** Opens the replica in the folder, if there is one. */
     fun open() = storage.execute { withDisk(::openExisting) }
 
@@ -217,7 +234,7 @@
         scope.launch {
             open
                 .changeMembers(change)
-                .onSuccess { logger.event("members_changed", mapOf("change" to change.toString())) }
+                .onSuccess { logger.event("members_changed", fieldsOf(change, open.status())) }
                 .onFailure { failure ->
                     val fields = mapOf("change" to change.toString(), "reason" to failure.detail)
                     logger.event("members_unchanged", fields, Level.DEBUG)
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -38,6 +38,12 @@
 /** Delay before an unanswered request for a view is retried. */
 private const val VIEW_RETRY_MILLIS = 300L
 
+/** Number of the core's voters that reply to the leader, and of those that do not. */
+public data class VoterCounts(
+    val responsive: Int,
+    val unresponsive: Int,
+)
+
 /** Connects this host to its fleet; must only be used on the event loop. */
 public interface Mesh : AutoCloseable {
     /** Newest replicated state that this host knows. */
@@ -61,6 +67,9 @@
     /** Whether this host leads. */
     public val leading: Boolean
 
+    /** Voters of the core by whether they reply to this host; null unless it leads. */
+    public val voters: VoterCounts?
+
     /** Records an announcement received by this host and disseminates it. */
     public fun announce(upstream: FleetUpstream)
 
@@ -156,6 +165,8 @@
 
     override val leading: Boolean get() = core?.status?.leading == true
 
+    override val voters: VoterCounts? get() = core?.voters
+
     override val leader: HostPort?
         get() {
             val own = core?.status
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/NextMemberChange.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/NextMemberChange.kt
@@ -13,8 +13,11 @@
 /** Time without contact after which a member is removed from a group of even size, which is safer without it. */
 private const val EVEN_GROUP_REMOVAL_TIMEOUT_MILLIS = 8_000L
 
-/** Time without contact below which a learner counts as reachable: a few heartbeats. */
-private const val REACHABLE_MILLIS = 1_000L
+/** Time without contact below which a member counts as responsive: a few heartbeats. */
+private const val RESPONSIVE_MILLIS = 1_000L
+
+/** Whether the member has replied to the leader within the last few heartbeats. */
+internal val MemberStatus.isResponsive: Boolean get() = replyAgeMillis < RESPONSIVE_MILLIS
 
 /**
  * Returns the next membership change of the leader [self], given the replicas that are [joining], or null.
@@ -33,13 +36,13 @@
     val others = members.filter { it.node != self }
     val predecessor = joiningReplica?.let { node -> others.firstOrNull { addressOf(it.node) == addressOf(node) } }
     val leastResponsive = others.maxByOrNull { it.replyAgeMillis }
-    val replicaWaiting = joiningReplica != null || learner?.let { it.replyAgeMillis < REACHABLE_MILLIS } == true
+    val replicaWaiting = joiningReplica != null || learner?.isResponsive == true
     val voters = members.count { it.voter }
     return when {
         predecessor != null -> MemberChange.Remove(predecessor.node)
         leastResponsive != null && leastResponsive.isRemovable(replicaWaiting, voters) ->
             MemberChange.Remove(leastResponsive.node)
-        learner != null -> if (learner.replyAgeMillis < REACHABLE_MILLIS) MemberChange.Promote(learner.node) else null
+        learner != null -> if (learner.isResponsive) MemberChange.Promote(learner.node) else null
         joiningReplica != null -> MemberChange.AddLearner(joiningReplica)
         else -> null
     }
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
@@ -18,6 +18,8 @@
  * different view.
  *
  * @property lastContactAgeMillis longest time, by pool, since an upstream last reported directly or through other hosts
+ * @property responsiveVoters voters of the core that reply to this host; null unless it leads
+ * @property unresponsiveVoters voters of the core that do not reply to this host; null unless it leads
  */
 public data class HostStatus(
     val configurationVersion: Long,
@@ -26,6 +28,8 @@
     val lastContactAgeMillis: Map<PoolName, Long>,
     val peers: Int,
     val leading: Boolean,
+    val responsiveVoters: Int?,
+    val unresponsiveVoters: Int?,
     val unfinished: Int,
     val waiting: Int,
 )
@@ -82,6 +86,11 @@
         }
         MetricCatalog.hostPeers.callbackGauge(registry) { call(status().peers.toDouble()) }
         MetricCatalog.hostLeading.callbackGauge(registry) { call(if (status().leading) 1.0 else 0.0) }
+        MetricCatalog.hostVoters.callbackGauge(registry) {
+            val current = status()
+            current.responsiveVoters?.let { call(it.toDouble(), "responsive") }
+            current.unresponsiveVoters?.let { call(it.toDouble(), "unresponsive") }
+        }
         MetricCatalog.hostUnfinished.callbackGauge(registry) { call(status().unfinished.toDouble()) }
         MetricCatalog.hostWaiting.callbackGauge(registry) { call(status().waiting.toDouble()) }
     }
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
@@ -252,6 +252,8 @@
         )
     internal val hostPeers = gauge("caraway_host_peers", "Hosts known to a host, including itself.")
     internal val hostLeading = gauge("caraway_host_leading", "Whether a host leads the core, 0 or 1.")
+    internal val hostVoters =
+        gauge("caraway_host_voters", "Voters of the core by whether they reply; only from the leader.", "state")
     internal val hostUnfinished = gauge("caraway_host_unfinished_requests", "Requests that are being served.")
     internal val hostWaiting =
         gauge("caraway_host_waiting_requests", "Requests waiting for an upstream with free capacity.")
@@ -334,6 +336,7 @@
                     hostLastContactAge,
                     hostPeers,
                     hostLeading,
+                    hostVoters,
                     hostUnfinished,
                     hostWaiting,
                 ),
--- a/telemetry/src/test/kotlin/io/carawaytrack/telemetry/MetricsTest.kt
+++ b/telemetry/src/test/kotlin/io/carawaytrack/telemetry/MetricsTest.kt
@@ -348,6 +348,8 @@
                     lastContactAgeMillis = mapOf(pool to 1_500),
                     peers = 8,
                     leading = true,
+                    responsiveVoters = 3,
+                    unresponsiveVoters = 1,
                     unfinished = 2,
                     waiting = 1,
                 )
@@ -360,6 +362,7 @@
         expectThat(metrics.text().decodeToString().lines()).contains(
             "caraway_host_configuration_version 7.0",
             """caraway_host_upstream_silence_seconds{pool="llm"} 1.5""",
+            """caraway_host_voters{state="unresponsive"} 1.0""",
             """caraway_host_attempts_total{outcome="failed",pool="llm",version="v1"} 1.0""",
         )
     }
