Remove unresponsive voters before they cost the core its quorum

Callers saw confirmed changes out of force for good after the last lost disk, with reads answered 503 (CONFIG).

Cause: a host that was lost for good stayed a voter. From a group of odd size it was never removed, and from one of even size only after 8 s, while its successor was added beside it. After two replaced hosts a core of four disks had six voters and four hosts: a quorum without one to spare. Three disks needed one replaced host only. The next lost disk left no quorum, and without one no member can be changed.

Change: the leader removes any member that has been silent for 2 s, as long as the voters that the tolerated loss requires remain, whatever the group's size. A removed voter takes its part of the quorum's size along. 2 s is longer than the restart of a process and short enough for a successor to be in place 4 s after its start, one election included.

--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -229,7 +229,8 @@
         val status = open.status()
         if (!status.leading || changeInProgress) return
         joinRequestedAtMillis.values.removeIf { setup.nowMillis() - it > JOIN_VALID_MILLIS }
-        val change = nextMemberChange(status.members, joinRequestedAtMillis.keys, status.node) ?: return
+        val joining = joinRequestedAtMillis.keys
+        val change = nextMemberChange(status.members, joining, status.node, setup.requiredVoters) ?: return
         changeInProgress = true
         scope.launch {
             open
