Tell a replica of its removal only once the removal is committed

Cause: a removed replica clears its folder when the leader says that it isn't a member. The leader looked at the members of its own log, committed or not. If it failed before the removal was committed, the next leader still counted on the replica whose disk had been cleared, beside the one disk that may be lost.

Change: the status of a replica tells whether its members are committed, and the leader answers a removed replica only then.

--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/Replica.kt
@@ -37,7 +37,12 @@
     val replyAgeMillis: Long,
 )
 
-/** Describes the status of a replica; [members] are those of its own log, committed or not. */
+/**
+ * Describes the status of a replica.
+ *
+ * @property members members according to its own log, committed or not
+ * @property membersCommitted whether the entry that set [members] is known to be committed
+ */
 public data class ReplicaStatus(
     val node: NodeId,
     val leader: NodeId?,
@@ -45,6 +50,7 @@
     val commitIndex: Long,
     val appliedIndex: Long,
     val members: List<MemberStatus> = emptyList(),
+    val membersCommitted: Boolean = true,
 ) {
     /** Whether this replica considers itself the leader; another one may have been elected since. */
     val leading: Boolean get() = leader == node
--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/ReplicaDriver.kt
@@ -213,5 +213,6 @@
         commitIndex = state.commitIndex,
         appliedIndex = appliedIndex,
         members = core.memberStatuses(),
+        membersCommitted = state.log.membersIndex <= state.commitIndex,
     )
 }
--- a/consensus/src/test/kotlin/io/carawaytrack/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/io/carawaytrack/consensus/ReplicaTest.kt
@@ -15,6 +15,7 @@
 import strikt.api.expectThat
 import strikt.api.expectThrows
 import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
@@ -195,6 +196,22 @@
         changeMembers(MemberChange.Promote(learner.node))
     }
 
+    @Test
+    fun `a removal does not count as committed before it is on a quorum of the remaining members`() {
+        val leader = group.electLeader()
+        group.run(millis = 100)
+        val (remaining, removed) = leader.followers
+        group.isolate(remaining)
+        group.change(leader, MemberChange.Remove(removed.node))
+        group.run(millis = 50)
+        expectThat(leader.driver!!.status) {
+            get { members.map { it.node } }.containsExactlyInAnyOrder(leader.node, remaining.node)
+            get { membersCommitted }.isFalse()
+        }
+        group.heal()
+        group.runUntil("a committed removal") { leader.driver!!.status.membersCommitted }
+    }
+
     @Test
     fun `another leader is elected when the leader is removed`() {
         val leader = group.electLeader()
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -106,6 +106,14 @@
     "unresponsive" to status.members.filterNot { it.isResponsive }.map { it.node.value },
 )
 
+private fun ReplicaStatus.isMember(node: NodeId): Boolean = members.any { it.node == node }
+
+/**
+ * Returns whether [node] may clear its folder. Another leader may undo a removal that is not committed, and then counts
+ * on the removed replica's copy of acknowledged changes.
+ */
+internal fun ReplicaStatus.confirmsRemovalOf(node: NodeId): Boolean = membersCommitted && !isMember(node)
+
 /** Returns the address of the host that holds the replica [node]. */
 internal fun addressOf(node: NodeId): HostPort? = HostPort.parse(node.value.substringBefore('/'))
 
@@ -181,7 +189,8 @@
         request: MeshMessage.Join,
         reply: (MeshMessage) -> Unit,
     ) {
-        if (status?.leading != true || isMember(request.node) || addressOf(request.node) == null) return
+        val status = status ?: return
+        if (!status.leading || status.isMember(request.node) || addressOf(request.node) == null) return
         if (request.fresh) {
             joinRequestedAtMillis[request.node] = setup.nowMillis()
             return
@@ -189,13 +198,13 @@
         // Only a leader confirmed by a quorum can decide that a replica is no longer a member.
         confirmLeadership { confirmed ->
             confirmed.onSuccess {
-                setup.onLoop { if (!isMember(request.node)) reply(MeshMessage.Removed(request.node)) }
+                setup.onLoop {
+                    if (this.status?.confirmsRemovalOf(request.node) == true) reply(MeshMessage.Removed(request.node))
+                }
             }
         }
     }
 
-    private fun isMember(node: NodeId) = status?.members?.any { it.node == node } == true
-
     /** Returns the join request to send, or null if this host is a voter and knows a leader. */
     fun joinRequest(): MeshMessage.Join? {
         val status = status ?: return null
