Quarantine prompt parts that crash upstreams

Cause: a request whose upstream crashed was sent to the next one by its route's limits alone, and nothing connected crashes under different requests or on different hosts.

Change: a broken attempt whose upstream accepts no connection is a crash, and its request is sent again only after that check, and to no third upstream. Crashes implicate prompts whose answers may have begun, answers that go on clear their parts, and hosts exchange both. From three crashes on, requests with the part that is left are refused as not run. It works because a harmful part is never answered, while parts of sound requests are, on some host, within seconds.

--- /dev/null
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
@@ -0,0 +1,59 @@
+/*
+ * Watches the answers to one request for signs that its prompt crashes upstreams. A harmful prompt takes its upstream
+ * down at the beginning of the answer, so an answer that goes on clears the prompt.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.fleet.PromptParts
+
+/** Time since the first event of an answer after which its prompt is not the cause of a later crash. */
+private const val SOUND_AFTER_MILLIS = 500L
+
+/** Minimum time between two records of the same answer's progress. */
+private const val PROGRESS_RECORD_INTERVAL_MILLIS = 1_000L
+
+/** Number of crashes at the beginning of its answer after which a request is not sent again. */
+private const val MAX_CRASHES = 2
+
+internal class AnswerWatch(
+    private val prompt: PromptParts,
+    private val crashes: CrashDetector,
+) {
+    private var firstEventAtMillis: Long? = null
+    private var recordedAtMillis = Long.MIN_VALUE / 2
+    private var sound = false
+    private var crashCount = 0
+
+    /** Whether the request may be sent to another upstream as far as crashes are concerned. */
+    val allowsRetry: Boolean get() = crashCount < MAX_CRASHES
+
+    fun attemptStarted() {
+        firstEventAtMillis = null
+        sound = false
+    }
+
+    /** Records that complete events of the answer have arrived [now]. */
+    fun eventsReceived(now: Long) {
+        val firstAtMillis = firstEventAtMillis ?: now.also { firstEventAtMillis = it }
+        sound = now - firstAtMillis >= SOUND_AFTER_MILLIS
+        if (!sound || now - recordedAtMillis < PROGRESS_RECORD_INTERVAL_MILLIS) return
+        recordedAtMillis = now
+        crashes.recordSound(prompt)
+    }
+
+    fun answerCompleted() = crashes.recordSound(prompt)
+
+    /** Handles a broken attempt on [upstream]; calls [done] once it is known whether the upstream has crashed. */
+    fun attemptBroken(
+        upstream: FleetUpstream,
+        done: () -> Unit,
+    ) {
+        if (sound) crashes.recordSound(prompt)
+        if (sound || prompt.isEmpty()) return done()
+        crashes.check(upstream, prompt) { crashed ->
+            if (crashed) crashCount++
+            done()
+        }
+    }
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -6,6 +6,7 @@
 import io.carawaytrack.fleet.CatalogOrganisation
 import io.carawaytrack.fleet.CatalogRoute
 import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.fleet.RouteMatch
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -61,6 +62,9 @@
 ) {
     val rank: Int = organisation?.priority ?: route.priority
 
+    /** Identifiers of the prompt's parts. */
+    val prompt: PromptParts = demand.parts.map { it.id }
+
     /** Whether the gateway selects the model. */
     val gatewayChoosesModel: Boolean get() = route.models.isNotEmpty()
 
--- /dev/null
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
@@ -0,0 +1,53 @@
+/*
+ * Distinguishes the crash of an upstream from a single broken connection: an upstream that has crashed does not accept
+ * connections. Attempts that break at the same time share one check.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.fleet.FleetUpstream
+import io.carawaytrack.fleet.PromptParts
+import io.carawaytrack.model.HostPort
+
+/** Records crashes in [quarantine]; [checkListening] reports whether an address accepts a connection. */
+internal class CrashDetector(
+    private val checkListening: (HostPort, (Boolean) -> Unit) -> Unit,
+    private val quarantine: PromptQuarantine,
+) {
+    private class Check {
+        val prompts = ArrayList<PromptParts>()
+        val callbacks = ArrayList<(Boolean) -> Unit>()
+    }
+
+    private val checks = HashMap<HostPort, Check>()
+
+    /** Records that an upstream is answering [prompt], or has answered it. */
+    fun recordSound(prompt: PromptParts) = quarantine.recordSound(prompt)
+
+    /**
+     * Checks [upstream] after an attempt that broke at the beginning of the answer to [prompt]; then calls [done] with
+     * whether the upstream has crashed.
+     */
+    fun check(
+        upstream: FleetUpstream,
+        prompt: PromptParts,
+        done: (Boolean) -> Unit,
+    ) {
+        val running = checks[upstream.address]
+        val check = running ?: Check().also { checks[upstream.address] = it }
+        check.prompts += prompt
+        check.callbacks += done
+        if (running == null) checkListening(upstream.address) { listening -> finish(upstream, listening) }
+    }
+
+    private fun finish(
+        upstream: FleetUpstream,
+        listening: Boolean,
+    ) {
+        val check = checks.remove(upstream.address) ?: return
+        if (!listening) {
+            logEvent("upstream_crashed", mapOf("upstream" to upstream.id.value, "prompts" to check.prompts))
+            quarantine.recordCrash(upstream.id, upstream.startedAtMillis, check.prompts)
+        }
+        check.callbacks.forEach { it(!listening) }
+    }
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -36,6 +36,10 @@
     private val queue = WaitQueue<Exchange>(nowMillis)
     private val active = LinkedHashSet<Exchange>()
 
+    /** Prompt parts that crash upstreams. */
+    val quarantine = PromptQuarantine(nowMillis)
+    override val crashes = CrashDetector(connections::checkListening, quarantine)
+
     /** Version of the configuration in force, included in log events. */
     var configurationVersion: Long? = null
 
@@ -108,10 +112,16 @@
         "no other upstream can take over the request after ${exchange.attempts} attempts",
     )
 
-    /** Sends the exchange if an upstream can accept it now; returns whether it was sent. */
+    /** Sends the exchange if an upstream can accept it now, or ends it if it is refused; returns whether it did. */
     private fun tryPlace(exchange: Exchange): Boolean {
         val pool = exchange.pool ?: return false
         val request = exchange.request
+        if (quarantine.refuses(request.prompt)) {
+            exchange.fail(
+                if (exchange.hasNotRun) ErrorKind.PromptQuarantined.notRun() else attemptsExhausted(exchange),
+            )
+            return true
+        }
         val model = if (request.gatewayChoosesModel) request.route.models.getOrNull(exchange.modelIndex) else null
         val criteria =
             SelectionCriteria(
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -63,6 +63,7 @@
         private set
     private var lastProgressAtMillis = 0L
     private var response: HttpResponse? = null
+    private val watch = AnswerWatch(request.prompt, context.crashes)
     private var callerDisconnected = false
     private var mayHaveRun = false
 
@@ -101,6 +102,7 @@
         target = upstream
         attempt = next
         response = null
+        watch.attemptStarted()
         sentAtMillis = now
         waitedMillis += now - waitingSinceMillis
         lastProgressAtMillis = now
@@ -178,6 +180,7 @@
         val valid = relay.receiveContent(head, bytes)
         // An upstream that is stalled may still send bytes now and then, but no complete events.
         if (!relay.isStream(head) || events > eventsBefore) lastProgressAtMillis = context.nowMillis()
+        if (events > eventsBefore) watch.eventsReceived(lastProgressAtMillis)
         if (valid) return
         // The body cannot belong to a valid response; a refusal counts regardless of its body.
         val refusal = head.refusal(context.headerNames) ?: return onFailed(AttemptEnd.Broken)
@@ -200,6 +203,7 @@
 
     private fun finish(head: HttpResponse) {
         recordOutcome(good = !head.isFailure())
+        if (head.isSuccess()) watch.answerCompleted()
         mayHaveRun = true
         detachAttempt()
         end(head.status().code(), failure = null)
@@ -255,11 +259,17 @@
         upstream.assumeCold(ASSUMED_COLD_MILLIS)
         excluded += upstream.upstream.id
         releaseAttempt(cancel = true, ran = !neverSent)
-        when {
-            callerDisconnected -> abandon()
-            neverSent || tryRetry() -> waitForUpstream()
-            else -> fail(brokenOff(execution, end))
+        phase = ExchangePhase.Waiting
+        val proceed = {
+            when {
+                phase == ExchangePhase.Ended -> Unit
+                callerDisconnected -> abandon()
+                neverSent || tryRetry() -> waitForUpstream()
+                else -> fail(brokenOff(execution, end))
+            }
         }
+        // Sent again only after the check: a prompt that crashes upstreams would take the next one at once.
+        if (neverSent) proceed() else watch.attemptBroken(upstream.upstream, proceed)
     }
 
     private fun recordOutcome(good: Boolean) {
@@ -288,7 +298,8 @@
     /** Takes a retry from the budget if the request may be sent again although an upstream may have executed it. */
     private fun tryRetry(): Boolean {
         val inTime = request.deadlineAtMillis - context.nowMillis() >= MIN_REMAINING_MILLIS
-        val allowed = route.retryable && relay.canResume && possibleRuns < route.maxAttempts
+        val allowed =
+            route.retryable && relay.canResume && possibleRuns < route.maxAttempts && watch.allowsRetry
         return allowed && inTime && !callerDisconnected && context.tryRetry(this)
     }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
@@ -43,6 +43,7 @@
 /** Operations of the gateway that an exchange uses. */
 internal interface ExchangeContext {
     val headerNames: HeaderNames
+    val crashes: CrashDetector
 
     fun nowMillis(): Long
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -9,6 +9,7 @@
 import io.carawaytrack.fleet.Catalog
 import io.carawaytrack.fleet.CatalogPool
 import io.carawaytrack.fleet.CatalogRoute
+import io.carawaytrack.fleet.CrashReport
 import io.carawaytrack.fleet.Deregistration
 import io.carawaytrack.fleet.FleetRollout
 import io.carawaytrack.fleet.FleetUpstream
@@ -120,6 +121,15 @@
     /** Returns the load reports that upstreams sent to this host since the last call, the newest one of each. */
     public fun takeLoads(): List<UpstreamLoad>
 
+    /** Applies a report of crashed upstreams from another host. */
+    public fun applyCrashes(report: CrashReport)
+
+    /** Returns what this host found out about crashed upstreams since the last call; null if there is nothing. */
+    public fun takeCrashReport(): CrashReport?
+
+    /** Returns all that this host knows about crashed upstreams. */
+    public fun crashReport(): CrashReport
+
     /** Sets the number of [hosts] that share the upstreams' limits. */
     public fun setHostCount(hosts: Int)
 
@@ -207,6 +217,12 @@
 
     override fun takeLoads(): List<UpstreamLoad> = upstreams.takeLoads()
 
+    override fun applyCrashes(report: CrashReport) = dispatcher.quarantine.merge(report)
+
+    override fun takeCrashReport(): CrashReport? = dispatcher.quarantine.takeReport()
+
+    override fun crashReport(): CrashReport = dispatcher.quarantine.report()
+
     override fun setHostCount(hosts: Int) {
         upstreams.hosts = maxOf(1, hosts)
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -8,6 +8,8 @@
 import io.carawaytrack.model.HostPort
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
@@ -90,6 +92,28 @@
         idle.remove(address)?.forEach { it.channel.close() }
     }
 
+    /** Reports to [done] whether [address] accepts a connection. */
+    fun checkListening(
+        address: HostPort,
+        done: (Boolean) -> Unit,
+    ) {
+        bootstrap(ChannelInboundHandlerAdapter())
+            .connect(address.host, address.port)
+            .addListener(
+                ChannelFutureListener { future ->
+                    future.channel().close()
+                    done(future.isSuccess)
+                },
+            )
+    }
+
+    private fun bootstrap(handler: ChannelHandler) = Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .handler(handler)
+
     private fun takeIdle(
         address: HostPort,
         maxIdleMillis: Long,
@@ -108,12 +132,7 @@
         attempt: Attempt,
     ) {
         val connection = UpstreamConnection(address)
-        Bootstrap()
-            .group(group)
-            .channel(NioSocketChannel::class.java)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(initializer(connection))
+        bootstrap(initializer(connection))
             .connect(address.host, address.port)
             .addListener { future ->
                 if (future.isSuccess) {
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
@@ -0,0 +1,49 @@
+/*
+ * Requests with a prompt part that crashes each upstream that begins to answer it, through a gateway over loopback.
+ */
+package io.carawaytrack.gateway
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import java.io.OutputStream
+
+/** Time that an upstream takes to crash: crashes of several upstreams at once do not count as several. */
+private const val PAUSE_MILLIS = 300L
+
+internal class CrashingPromptTest : GatewayFixture() {
+    private fun serveCrashing(count: Int) =
+        serve(*Array(count) { index -> { request, out, _ -> answerOrCrash(index, request, out) } })
+
+    private fun answerOrCrash(
+        index: Int,
+        request: RawMessage,
+        out: OutputStream,
+    ): Boolean {
+        out.send(STREAM_HEAD)
+        if ("deadly:" in request["x-parts"].orEmpty()) {
+            advance(PAUSE_MILLIS)
+            upstreams[index].close()
+            return false
+        }
+        out.raw(event(1) + "0\r\n\r\n")
+        return true
+    }
+
+    private fun draft(parts: String) =
+        exchange(request("/draft/x", headers = "x-parts: $parts\n"))?.start.orEmpty().substring(9, 12)
+
+    private fun FakeUpstream.received(part: String) = requests.any { part in it["x-parts"].orEmpty() }
+
+    @Test
+    fun `requests with one deadly part do not crash one upstream after the other`() {
+        serveCrashing(count = 6)
+        expectThat(draft("a:9,own0:1")).isEqualTo("200")
+        expectThat(draft("a:9,deadly:5,own1:1")).isEqualTo("502")
+        expectThat(draft("a:9,deadly:5,own2:1")).isEqualTo("502")
+        repeat(5) { expectThat(draft("a:9,deadly:5,own${3 + it}:1")).isEqualTo("503") }
+        expectThat(upstreams.filter { it.received("deadly") }).hasSize(3)
+        expectThat(draft("a:9,own9:1")).isEqualTo("200")
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/PromptQuarantineTest.kt
@@ -0,0 +1,133 @@
+/*
+ * Which prompts are refused after upstreams crashed: in a history of crashes and answers, seen by one host or by two
+ * that exchange reports. In all of them "d" is the part that crashes upstreams, if any part does.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.fleet.PromptParts
+import io.carawaytrack.model.UpstreamId
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+class PromptQuarantineTest {
+    private var nowMillis = 10_000L
+    private var crashes = 0
+    private val quarantine = PromptQuarantine { nowMillis }
+    private val otherHost = PromptQuarantine { nowMillis }
+
+    private fun prompt(parts: String): PromptParts = parts.split(' ')
+
+    /** Lets an upstream crash [afterMillis] after the last event, with the [prompts] of one host. */
+    private fun PromptQuarantine.crash(
+        vararg prompts: String,
+        afterMillis: Long = 400,
+    ) {
+        nowMillis += afterMillis
+        recordCrash(UpstreamId("u${++crashes}"), startedAtMillis = 1, prompts.map(::prompt))
+        exchangeReports()
+    }
+
+    private fun PromptQuarantine.answer(prompt: String) {
+        nowMillis += 100
+        recordSound(prompt(prompt))
+        exchangeReports()
+    }
+
+    private fun exchangeReports() = repeat(2) {
+        quarantine.takeReport()?.let(otherHost::merge)
+        otherHost.takeReport()?.let(quarantine::merge)
+    }
+
+    private class Case(
+        val name: String,
+        val refused: List<String>,
+        val served: List<String>,
+        val history: PromptQuarantineTest.() -> Unit,
+    )
+
+    private val cases =
+        listOf(
+            Case("nothing after two crashes", refused = emptyList(), served = listOf("a d 1")) {
+                quarantine.crash("a d 1")
+                quarantine.crash("b d 2")
+            },
+            Case("the part that all crashes have in common", listOf("a d 9", "d 9"), listOf("a 9", "b c 9")) {
+                quarantine.crash("a d 1")
+                quarantine.crash("b d 2")
+                quarantine.crash("c d 3")
+            },
+            Case("the same request alone while no other one has its parts", listOf("a d 1"), listOf("a d 2", "d 1")) {
+                repeat(3) { quarantine.crash("a d 1") }
+            },
+            Case("the part without one that came along and was answered", listOf("d 9"), listOf("a 9", "a 1")) {
+                quarantine.crash("a d 1")
+                quarantine.crash("a d 2")
+                quarantine.answer("a 3")
+                quarantine.crash("a d 4")
+            },
+            Case("the part without those of sound requests beside it", listOf("b d 9"), listOf("a 9", "b 9")) {
+                quarantine.answer("a 0")
+                quarantine.crash("a d 1", "a 2", "b 5")
+                quarantine.crash("b d 3", "a 4")
+                quarantine.crash("a d 6", "c 7")
+            },
+            Case("the part although a request with others was there each time", listOf("d 9"), listOf("x y 1")) {
+                quarantine.crash("a d 1", "x y 1")
+                quarantine.crash("a d 1", "x y 1")
+                quarantine.crash("a d 1", "x y 1")
+                quarantine.crash("b d 2")
+            },
+            Case("nothing when several upstreams crash at once", emptyList(), listOf("a 1")) {
+                repeat(4) { quarantine.crash("a 1", afterMillis = 10) }
+            },
+            Case("nothing when answers were under way at the crashes", emptyList(), listOf("a 1", "a 9")) {
+                repeat(4) {
+                    quarantine.answer("a 0")
+                    quarantine.crash("a ${1 + it}")
+                }
+            },
+            Case("a part whose crashes two hosts saw", listOf("c d 9"), listOf("c 9")) {
+                quarantine.crash("a d 1")
+                otherHost.crash("b d 2")
+                quarantine.crash("c d 3")
+            },
+            Case("a part without one that only another host had answered", listOf("d 9"), listOf("a 9")) {
+                otherHost.answer("a 0")
+                quarantine.crash("a d 1")
+                quarantine.crash("a d 2")
+                quarantine.crash("a d 3")
+            },
+        )
+
+    @TestFactory
+    fun `a prompt part that crashes upstreams does not reach a fourth one, and sound prompts are served`() =
+        cases.map { case ->
+            dynamicTest(case.name) {
+                val history = PromptQuarantineTest()
+                case.history(history)
+                listOf(history.quarantine, history.otherHost).forEach { host ->
+                    expectThat(case.refused.filter { host.refuses(prompt(it)) }).isEqualTo(case.refused)
+                    expectThat(case.served.filter { host.refuses(prompt(it)) }).isEqualTo(emptyList())
+                }
+            }
+        }
+
+    @Test
+    fun `a host that starts later refuses what the others refuse`() {
+        repeat(3) { quarantine.crash("a$it d $it") }
+        val started = PromptQuarantine { nowMillis }.apply { merge(quarantine.report()) }
+        expectThat(started.refuses(prompt("e d 9"))).isTrue()
+    }
+
+    @Test
+    fun `a quarantine ends two minutes after the last crash`() {
+        repeat(3) { quarantine.crash("a$it d $it") }
+        nowMillis += 121_000
+        expectThat(quarantine.refuses(prompt("e d 9"))).isFalse()
+    }
+}
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/Mesh.kt
@@ -8,6 +8,7 @@
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
+import io.carawaytrack.fleet.CrashReport
 import io.carawaytrack.fleet.Deregistration
 import io.carawaytrack.fleet.FleetCommand
 import io.carawaytrack.fleet.FleetUpstream
@@ -76,6 +77,9 @@
     /** Deregisters an upstream and disseminates the deregistration. */
     public fun deregister(deregistration: Deregistration)
 
+    /** Tells the other hosts of crashed upstreams. */
+    public val reportCrashes: (CrashReport) -> Unit
+
     /**
      * Commits [command]; [done] is called on the event loop. Fails with `NotLeader` on a host that does not lead, and
      * with the failures of the replicated log.
@@ -143,6 +147,8 @@
     override val upstreams: UpstreamRegistry = UpstreamRegistry(nowMillis)
     private val dissemination = UpstreamDissemination(self.core, upstreams, ::peerLinks, ::coreLinks, events, nowMillis)
 
+    override val reportCrashes: (CrashReport) -> Unit = dissemination::reportCrashes
+
     private val loadExchange =
         MergingLoadExchange(
             core = self.core,
@@ -282,7 +288,7 @@
             is MeshMessage.Hello -> handleHello(link, message)
             is MeshMessage.Heartbeat -> handleHeartbeat(link, message)
             is MeshMessage.Cores -> addCores(message.cores)
-            is MeshMessage.Upstreams -> dissemination.receive(link, message)
+            is MeshMessage.Disseminated -> dissemination.receive(link, message)
             is MeshMessage.Loads -> loadExchange.receive(message)
             is MeshMessage.ViewRequest ->
                 if (view.index > message.haveIndex) {
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshMessage.kt
@@ -7,6 +7,7 @@
 package io.carawaytrack.mesh
 
 import io.carawaytrack.consensus.decodeOrNull
+import io.carawaytrack.fleet.CrashReport
 import io.carawaytrack.fleet.Deregistration
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.FleetView
@@ -78,6 +79,10 @@
         val cores: List<PeerInfo>,
     ) : MeshMessage
 
+    /** Message about upstreams that is passed on to all hosts. */
+    @Serializable
+    sealed interface Disseminated : MeshMessage
+
     /** Announcements and deregistrations of upstreams; the receiver forwards them to its peers if [relay] is set. */
     @Serializable
     @SerialName("u")
@@ -85,7 +90,7 @@
         val upstreams: List<RelayedUpstream>,
         @SerialName("departures") val deregistrations: List<Deregistration> = emptyList(),
         val relay: Boolean = false,
-    ) : MeshMessage
+    ) : Disseminated
 
     /** Load reports of upstreams; the receiver forwards them to its peers if [relay] is set. */
     @Serializable
@@ -95,6 +100,14 @@
         val relay: Boolean = false,
     ) : MeshMessage
 
+    /** Report of crashed upstreams; the receiver forwards it to its peers if [relay] is set. */
+    @Serializable
+    @SerialName("k")
+    class Crashes(
+        val report: CrashReport,
+        val relay: Boolean = false,
+    ) : Disseminated
+
     /** Requests a view newer than [haveIndex]. */
     @Serializable
     @SerialName("q")
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshSettings.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/MeshSettings.kt
@@ -3,6 +3,7 @@
  */
 package io.carawaytrack.mesh
 
+import io.carawaytrack.fleet.CrashReport
 import io.carawaytrack.fleet.Deregistration
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.fleet.KnownUpstream
@@ -33,10 +34,14 @@
  * @property upstreamChanged an upstream announced a change that affects routing
  * @property upstreamRemoved an upstream has deregistered or expired
  * @property loadReported another host has received a load report from an upstream
+ * @property crashesReported another host reports crashed upstreams
+ * @property knownCrashes returns what this host knows about crashed upstreams, for a new peer
  */
 public class MeshEvents(
     public val viewChanged: (FleetView) -> Unit,
     public val upstreamChanged: (KnownUpstream) -> Unit,
     public val upstreamRemoved: (Deregistration) -> Unit,
     public val loadReported: (UpstreamLoad) -> Unit = {},
+    public val crashesReported: (CrashReport) -> Unit = {},
+    public val knownCrashes: () -> CrashReport = { CrashReport(emptyList(), emptyList()) },
 )
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamDissemination.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamDissemination.kt
@@ -4,6 +4,7 @@
  */
 package io.carawaytrack.mesh
 
+import io.carawaytrack.fleet.CrashReport
 import io.carawaytrack.fleet.Deregistration
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.KnownUpstream
@@ -58,6 +59,14 @@
     }
 
     fun receive(
+        link: MeshLink,
+        message: MeshMessage.Disseminated,
+    ) = when (message) {
+        is MeshMessage.Upstreams -> receive(link, message)
+        is MeshMessage.Crashes -> receive(link, message)
+    }
+
+    private fun receive(
         link: MeshLink,
         message: MeshMessage.Upstreams,
     ) {
@@ -65,15 +74,33 @@
             if (upstreams.record(upstream, ageMillis) == RegistryUpdate.Changed) notifyChanged(upstream)
         }
         message.deregistrations.filter(upstreams::deregister).forEach(events.upstreamRemoved)
-        if (!message.relay || !core) return
-        val forwarded = MeshMessage.Upstreams(message.upstreams, message.deregistrations).encode()
-        peerLinks().filter { it.peer?.address != link.peer?.address }.forEach { it.send(forwarded) }
+        if (message.relay && core) forward(link, MeshMessage.Upstreams(message.upstreams, message.deregistrations))
+    }
+
+    /** Sends to all peers except the one at the other end of [origin]. */
+    private fun forward(
+        origin: MeshLink,
+        message: MeshMessage,
+    ) {
+        val encoded = message.encode()
+        peerLinks().filter { it.peer?.address != origin.peer?.address }.forEach { it.send(encoded) }
     }
 
-    /** Sends all known upstreams to a new peer. */
+    fun reportCrashes(report: CrashReport) = send(MeshMessage.Crashes(report, relay = !core), CHANGE_FANOUT)
+
+    private fun receive(
+        link: MeshLink,
+        message: MeshMessage.Crashes,
+    ) {
+        events.crashesReported(message.report)
+        if (message.relay && core) forward(link, MeshMessage.Crashes(message.report))
+    }
+
+    /** Sends all known upstreams and crashes to a new peer. */
     fun sendAll(link: MeshLink) {
         val all = upstreams.upstreams.map(::relayed)
         if (all.isNotEmpty()) link.send(MeshMessage.Upstreams(all))
+        events.knownCrashes().takeUnless { it.isEmpty }?.let { link.send(MeshMessage.Crashes(it)) }
     }
 
     /** Sends refreshed announcements at the batch interval and evicts expired upstreams. */
@@ -92,7 +119,7 @@
 
     /** Sends to all peers if this host has a disk, otherwise to [fanout] hosts with a disk. */
     private fun send(
-        message: MeshMessage.Upstreams,
+        message: MeshMessage,
         fanout: Int,
     ) {
         val encoded = message.encode()
