Complete a roll-out only if each route ends its attempts in time

Cause: the decision to complete weighed overdue attempts against all ended ones. Routes with short answers end many, so a route on which no attempt had ended counted as sound. Slowness was judged by the mean over ended and overdue attempts, which an attempt that is still open lowers.

Change: a route with more overdue than ended attempts keeps a version from being completed, and so does a number of ended attempts, on one route or on all, that a version slower by 1.3 would end in the same time with a chance below 0.05. The time of open attempts counts in full, so the slowest ones weigh most. Rolling back at the end is the choice that was taken before for lack of evidence.

RolloutPolicyTest passes, 20 simulated sound versions are completed.

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
@@ -8,6 +8,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlin.math.exp
 
 /**
  * Limits on the exposure of requests to a bad version.
@@ -56,6 +57,12 @@
 /** Slowdown over all routes above which a version is rolled back; lower, since more attempts make it reliable. */
 private const val MAX_SLOWDOWN_RATIO_OVERALL = 1.6
 
+/** Slowdown that does not keep a version from being completed: its upstreams have just started. */
+private const val TOLERATED_SLOWDOWN_RATIO = 1.3
+
+/** Probability up to which a version counts as slower if chance alone would end as few attempts as it has ended. */
+private const val MAX_CHANCE_OF_SLOWNESS = 0.05
+
 /** Successful attempts per unfinished one that a roll-out needs to complete. */
 private const val MIN_GOOD_PER_UNFINISHED = 3
 
@@ -147,9 +154,42 @@
 private fun RolloutTally.isBad(): Boolean =
     failsMoreOverall() || isSlowOverall() || new.any { it.failsMoreThan(oldTallyFor(it)) || it.isSlow(oldTallyFor(it)) }
 
+/** Returns whether the version has shown on each route, and on all together, that it ends its attempts in time. */
 private fun RolloutTally.canComplete(): Boolean {
     val good = new.sumOf { it.good }
-    return good > 0 && good >= new.sumOf { it.unfinished } * MIN_GOOD_PER_UNFINISHED
+    val enough = good > 0 && good >= new.sumOf { it.unfinished } * MIN_GOOD_PER_UNFINISHED
+    return enough && new.none { it.unfinished > it.good } && !endsTooFew()
+}
+
+/**
+ * Returns whether the new version has ended fewer attempts, on one route or on all together, than a version that is
+ * slower by the tolerated ratio ends in the same time. The time of unfinished attempts counts, so that the slowest ones
+ * are not left out.
+ */
+private fun RolloutTally.endsTooFew(): Boolean {
+    val routes = new.mapNotNull { tally -> oldTallyFor(tally).goodIn(tally.timeMillis)?.let { tally.good to it } }
+    val all = routes.sumOf { it.first } to routes.sumOf { it.second }
+    return (routes + all).any { (good, usual) ->
+        chanceOfAtMost(good, usual / TOLERATED_SLOWDOWN_RATIO) < MAX_CHANCE_OF_SLOWNESS
+    }
+}
+
+/** Returns how many attempts end well in [millis] at this tally's pace; null if it has too few to tell. */
+private fun RouteTally.goodIn(millis: Long): Double? =
+    if (good < MIN_TIMED_ATTEMPTS || timeMillis == 0L) null else millis.toDouble() * good / timeMillis
+
+/** Returns the probability of at most [count] events of which [expected] occur on average (Poisson distribution). */
+private fun chanceOfAtMost(
+    count: Int,
+    expected: Double,
+): Double {
+    var term = exp(-expected)
+    var sum = term
+    for (events in 1..count) {
+        term *= expected / events
+        sum += term
+    }
+    return sum
 }
 
 /** Compares the new version's total duration with the old one's for the same number of attempts on each route. */
--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
@@ -99,6 +99,47 @@
             true,
             FleetRolloutPhase.RolledBack,
         ),
+        Case(
+            "rolls back at its end when one route has only overdue attempts, although the others end theirs",
+            RolloutTally(
+                1,
+                listOf(
+                    RouteTally("r", 101, 0, 259_270, 5),
+                    RouteTally("s", 134, 0, 259_914, 1),
+                    RouteTally("t", 211, 0, 51_306),
+                ),
+                listOf(
+                    RouteTally("r", 0, 0, 20_218, 5),
+                    RouteTally("s", 10, 0, 23_802),
+                    RouteTally("t", 14, 0, 3_371),
+                ),
+            ),
+            23_000,
+            true,
+            FleetRolloutPhase.RolledBack,
+        ),
+        Case(
+            "rolls back at its end when each route ends less than half as many attempts in its time",
+            RolloutTally(
+                1,
+                listOf(RouteTally("r", 100, 0, 200_000), RouteTally("s", 100, 0, 200_000)),
+                listOf(RouteTally("r", 9, 0, 40_000, 3), RouteTally("s", 9, 0, 40_000, 3)),
+            ),
+            23_000,
+            true,
+            FleetRolloutPhase.RolledBack,
+        ),
+        Case(
+            "completes when some attempts of a sound version are overdue",
+            RolloutTally(
+                1,
+                listOf(RouteTally("r", 101, 0, 259_270, 5), RouteTally("s", 134, 0, 259_914, 1)),
+                listOf(RouteTally("r", 3, 0, 14_000, 2), RouteTally("s", 10, 0, 23_802, 1)),
+            ),
+            23_000,
+            true,
+            FleetRolloutPhase.Completed,
+        ),
         Case(
             "rolls back at its end when there were no attempts",
             RolloutTally(1),
@@ -200,6 +241,38 @@
         }
     }
 
+    private class SlownessCase(
+        val name: String,
+        val slowdown: Long,
+        val expected: FleetRolloutPhase,
+    )
+
+    /** Simulates long streams of the last 6 s, of which slow ones have not ended, beside a route with short ones. */
+    @TestFactory
+    fun `a version that answers several times slower is not completed, and a sound one is`(): List<DynamicTest> =
+        listOf(
+            SlownessCase("as fast as the old version", slowdown = 1, expected = FleetRolloutPhase.Completed),
+            SlownessCase("8 times as slow", slowdown = 8, expected = FleetRolloutPhase.RolledBack),
+        ).flatMap { case -> (1L..20L).map { seed -> case to seed } }.map { (case, seed) ->
+            dynamicTest("${case.name}, seed $seed") {
+                val random = Random(seed)
+                val started =
+                    (0L until DURATION_MILLIS step 100).map { millis ->
+                        val new = millis >= DURATION_MILLIS - 6_000 && random.nextDouble() < 0.2
+                        Triple(millis, (500 + random.nextLong(4_000)) * (if (new) case.slowdown else 1), new)
+                    }
+                val endMillis = DURATION_MILLIS - 1_000
+                val short =
+                    RolloutTally(
+                        1,
+                        listOf(RouteTally("short", 211, 0, 51_306)),
+                        listOf(RouteTally("short", 14, 0, 3_371)),
+                    )
+                val tally = short + tallyAt(endMillis, started.filter { it.first <= endMillis })
+                expectThat(rollout.nextPhase(tally, endMillis, newVersionReady = true)).isEqualTo(case.expected)
+            }
+        }
+
     private fun tallyAt(
         nowMillis: Long,
         started: List<Triple<Long, Long, Boolean>>,
