--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -16,6 +16,9 @@
 /** Minimum time before the deadline for another attempt; with less, a response cannot arrive in time. */
 private const val MIN_REMAINING_MILLIS = 20L
 
+/** Number of attempts after which a request that an upstream rejects is not retried. */
+private const val MAX_REJECTIONS = 3
+
 internal class Exchange(
     val request: CallerRequest,
     val pool: CatalogPool?,
@@ -342,12 +345,4 @@
         request.body.release()
         context.exchangeEnded(ExchangeOutcome(this, status, failure))
     }
-
-    private companion object {
-        /** Number of attempts after which a request that an upstream rejects is not retried. */
-        const val MAX_REJECTIONS = 3
-
-        /** Time for which an upstream is assumed cold after a broken connection, because it may have just restarted. */
-        const val ASSUMED_COLD_MILLIS = 1_500L
-    }
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
@@ -15,6 +15,9 @@
 /** Time without any byte from an upstream with outstanding requests after which it is suspected unhealthy. */
 internal const val SUSPECT_AFTER_MILLIS: Long = 900
 
+/** Time for which an upstream is assumed cold after a broken connection, because it may have just restarted. */
+internal const val ASSUMED_COLD_MILLIS: Long = 1_500L
+
 /** Initial pause after a failed connection or several consecutive failures; it doubles up to [MAX_PAUSE_MILLIS]. */
 private const val MIN_PAUSE_MILLIS = 250L
 
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -106,14 +106,6 @@
     "unresponsive" to status.members.filterNot { it.isResponsive }.map { it.node.value },
 )
 
-private fun ReplicaStatus.isMember(node: NodeId): Boolean = members.any { it.node == node }
-
-/**
- * Returns whether [node] may clear its folder. Another leader may undo a removal that is not committed, and then counts
- * on the removed replica's copy of acknowledged changes.
- */
-internal fun ReplicaStatus.confirmsRemovalOf(node: NodeId): Boolean = membersCommitted && !isMember(node)
-
 /** Returns the address of the host that holds the replica [node]. */
 internal fun addressOf(node: NodeId): HostPort? = HostPort.parse(node.value.substringBefore('/'))
 
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/NextMemberChange.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/NextMemberChange.kt
@@ -1,10 +1,11 @@
 /*
- * Self-repair of the core: selects the next membership change that the leader makes.
+ * Self-repair of the core: selects the next membership change that the leader makes, and tells when a removal is final.
  */
 package io.carawaytrack.mesh
 
 import io.carawaytrack.consensus.MemberChange
 import io.carawaytrack.consensus.MemberStatus
+import io.carawaytrack.consensus.ReplicaStatus
 import io.carawaytrack.model.NodeId
 
 /** Time without contact after which a member is unresponsive: longer than the restart of a process. */
@@ -47,3 +48,12 @@
 
 private fun MemberStatus.isRemovable(dispensable: Boolean): Boolean =
     replyAgeMillis >= UNRESPONSIVE_MILLIS && (dispensable || !voter)
+
+/** Returns whether [node] is a member according to this replica's log. */
+internal fun ReplicaStatus.isMember(node: NodeId): Boolean = members.any { it.node == node }
+
+/**
+ * Returns whether [node] may clear its folder. Another leader may undo a removal that is not committed, and then counts
+ * on the removed replica's copy of acknowledged changes.
+ */
+internal fun ReplicaStatus.confirmsRemovalOf(node: NodeId): Boolean = membersCommitted && !isMember(node)
