Quarantine requests without a prompt by their content

Cause: the quarantine knew prompt parts only, so a request without a prompt was sent on after each crash.

Evidence: the new case of CrashingPromptTest: six of six upstreams crash before, three after.

Change: such a request counts as a prompt of one part, a hash of its organisation, method, path and body.

The test's fake upstream now waits until it has stopped listening: once in the first run of the changed test a fourth upstream crashed, since a fake whose socket is closed while it accepts listens until its thread ends.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
@@ -17,7 +17,7 @@
 private const val MAX_CRASHES = 2
 
 internal class AnswerWatch(
-    private val prompt: PromptParts,
+    private val prompt: () -> PromptParts,
     private val crashes: CrashDetector,
 ) {
     private var firstEventAtMillis: Long? = null
@@ -39,19 +39,19 @@
         sound = now - firstAtMillis >= SOUND_AFTER_MILLIS
         if (!sound || now - recordedAtMillis < PROGRESS_RECORD_INTERVAL_MILLIS) return
         recordedAtMillis = now
-        crashes.recordSound(prompt)
+        crashes.recordSound(prompt())
     }
 
-    fun answerCompleted() = crashes.recordSound(prompt)
+    fun answerCompleted() = crashes.recordSound(prompt())
 
     /** Handles a broken attempt on [upstream]; calls [done] once it is known whether the upstream has crashed. */
     fun attemptBroken(
         upstream: FleetUpstream,
         done: () -> Unit,
     ) {
-        if (sound) crashes.recordSound(prompt)
-        if (sound || prompt.isEmpty()) return done()
-        crashes.check(upstream, prompt) { crashed ->
+        if (sound) crashes.recordSound(prompt())
+        if (sound) return done()
+        crashes.check(upstream, prompt()) { crashed ->
             if (crashed) crashCount++
             done()
         }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -3,6 +3,7 @@
  */
 package io.carawaytrack.gateway
 
+import com.dynatrace.hash4j.hashing.Hashing
 import io.carawaytrack.fleet.CatalogOrganisation
 import io.carawaytrack.fleet.CatalogRoute
 import io.carawaytrack.fleet.FleetUpstream
@@ -62,12 +63,21 @@
 ) {
     val rank: Int = organisation?.priority ?: route.priority
 
-    /** Identifiers of the prompt's parts. */
-    val prompt: PromptParts = demand.parts.map { it.id }
+    /** Identifiers of the prompt's parts; a request without a prompt counts as one part, its content. */
+    val prompt: PromptParts by lazy(LazyThreadSafetyMode.NONE) {
+        demand.parts.map { it.id }.ifEmpty { listOf(contentId()) }
+    }
 
     /** Whether the gateway selects the model. */
     val gatewayChoosesModel: Boolean get() = route.models.isNotEmpty()
 
+    private fun contentId(): String {
+        val hash = Hashing.komihash5_0().hashStream()
+        hash.putString("${organisation?.name?.value} ${head.method()} ${head.uri()}")
+        body.forEachByte { hash.putByte(it).let { true } }
+        return "content ${hash.asLong.toULong().toString(radix = 36)}"
+    }
+
     /** Returns the identifier of the last event that the caller has received, if it resumes a stream. */
     fun lastEventId(): String? = head.headers()[LAST_EVENT_ID]
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -116,7 +116,7 @@
     private fun tryPlace(exchange: Exchange): Boolean {
         val pool = exchange.pool ?: return false
         val request = exchange.request
-        if (quarantine.refuses(request.prompt)) {
+        if (quarantine.isActive && quarantine.refuses(request.prompt)) {
             exchange.fail(
                 if (exchange.hasNotRun) ErrorKind.PromptQuarantined.notRun() else attemptsExhausted(exchange),
             )
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
@@ -1,8 +1,9 @@
 /*
- * Quarantine of prompt parts that crash the upstreams that answer them. Each crash implicates the prompts that the
- * upstream may have begun to answer. A part that an upstream has answered around that time or since is cleared. Among
- * the others, a part that was in the prompts of enough crashes is quarantined: requests are refused if they contain it
- * and all parts that always came with it, so that a request that shares some of those parts can still clear them.
+ * Quarantine of prompt parts that crash the upstreams that answer them; a request without a prompt counts as one part.
+ * Each crash implicates the prompts that the upstream may have begun to answer. A part that an upstream has answered
+ * around that time or since is cleared. Among the others, a part that was in the prompts of enough crashes is
+ * quarantined: requests are refused if they contain it and all parts that always came with it, so that a request that
+ * shares some of those parts can still clear them.
  *
  * The quarantine is meant for a few crashes in a minute. It has neither a network nor a timer; hosts exchange reports.
  */
@@ -54,9 +55,11 @@
     private var implicatedParts: Set<String> = emptySet()
     private var quarantined: List<Set<String>>? = emptyList()
 
+    /** Whether any crash is known; otherwise nothing is refused. */
+    val isActive: Boolean get() = crashes.isNotEmpty()
+
     /** Returns whether requests with [prompt] are refused. */
     fun refuses(prompt: PromptParts): Boolean {
-        if (crashes.isEmpty()) return false
         expire()
         return current().any { prompt.containsAll(it) }
     }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
@@ -1,5 +1,5 @@
 /*
- * Requests with a prompt part that crashes each upstream that begins to answer it, through a gateway over loopback.
+ * Requests that crash each upstream that begins to answer them, through a gateway over loopback.
  */
 package io.carawaytrack.gateway
 
@@ -21,20 +21,27 @@
         request: RawMessage,
         out: OutputStream,
     ): Boolean {
-        out.send(STREAM_HEAD)
-        if ("deadly:" in request["x-parts"].orEmpty()) {
+        if (request.isDeadly()) {
             advance(PAUSE_MILLIS)
             upstreams[index].close()
             return false
         }
-        out.raw(event(1) + "0\r\n\r\n")
+        if ("/lookup/" in request.start) {
+            out.send(fullResponse("200 OK", "done"))
+        } else {
+            out.send(STREAM_HEAD)
+            out.raw(event(1) + "0\r\n\r\n")
+        }
         return true
     }
 
-    private fun draft(parts: String) =
-        exchange(request("/draft/x", headers = "x-parts: $parts\n"))?.start.orEmpty().substring(9, 12)
+    private fun RawMessage.isDeadly() = "deadly" in start || "deadly:" in this["x-parts"].orEmpty()
+
+    private fun draft(parts: String) = statusOf(request("/draft/x", headers = "x-parts: $parts\n"))
 
-    private fun FakeUpstream.received(part: String) = requests.any { part in it["x-parts"].orEmpty() }
+    private fun lookup(item: String) = statusOf(request("/lookup/$item"))
+
+    private fun statusOf(request: String) = exchange(request)?.start.orEmpty().substring(9, 12)
 
     @Test
     fun `requests with one deadly part do not crash one upstream after the other`() {
@@ -43,7 +50,16 @@
         expectThat(draft("a:9,deadly:5,own1:1")).isEqualTo("502")
         expectThat(draft("a:9,deadly:5,own2:1")).isEqualTo("502")
         repeat(5) { expectThat(draft("a:9,deadly:5,own${3 + it}:1")).isEqualTo("503") }
-        expectThat(upstreams.filter { it.received("deadly") }).hasSize(3)
+        expectThat(upstreams.filter { upstream -> upstream.requests.any { it.isDeadly() } }).hasSize(3)
         expectThat(draft("a:9,own9:1")).isEqualTo("200")
     }
+
+    @Test
+    fun `a deadly request without a prompt does not crash one upstream after the other`() {
+        serveCrashing(count = 6)
+        repeat(2) { expectThat(lookup("deadly")).isEqualTo("502") }
+        repeat(3) { expectThat(lookup("deadly")).isEqualTo("503") }
+        expectThat(upstreams.filter { upstream -> upstream.requests.any { it.isDeadly() } }).hasSize(3)
+        expectThat(lookup("other")).isEqualTo("200")
+    }
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/Loopback.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/Loopback.kt
@@ -71,9 +71,7 @@
     /** Receives an entry when the peer has closed a connection on which a response is still being written. */
     val closedByPeer = LinkedBlockingQueue<String>()
 
-    init {
-        thread(isDaemon = true) { acceptAll() }
-    }
+    private val acceptor = thread(isDaemon = true) { acceptAll() }
 
     private fun acceptAll() {
         try {
@@ -102,7 +100,11 @@
         }
     }
 
-    override fun close() = server.close()
+    /** Stops listening; a socket that is closed while it accepts goes on listening until its thread has ended. */
+    override fun close() {
+        server.close()
+        acceptor.join()
+    }
 }
 
 /** A caller with its own connection. */
--- a/model/src/main/kotlin/io/carawaytrack/model/ErrorKind.kt
+++ b/model/src/main/kotlin/io/carawaytrack/model/ErrorKind.kt
@@ -52,7 +52,7 @@
     SessionVersionWithdrawn(410, false, "the version of this session has been withdrawn"),
     PoolExhausted(503, true, "no upstream of the pool has free capacity"),
     NoHealthyUpstream(503, true, "no healthy upstream serves an allowed version"),
-    PromptQuarantined(503, true, "a part of the prompt is quarantined because upstreams crashed while answering it"),
+    PromptQuarantined(503, true, "the request or a part of its prompt is quarantined because upstreams crashed"),
     ControlUnavailable(503, true, "the control hosts could not be reached; no new work is accepted"),
     ShuttingDown(503, true, "the process is shutting down"),
     MemoryExhausted(503, true, "the memory budget is used up"),
