Judge a new version's pace on fleets with thousands of attempts

Cause: the chance of few ended attempts was summed from the term for none, which is zero in floating point from about 745 expected attempts on, so every version counted as too slow.

Change: the sum starts at its largest term. RolloutPolicyTest has a sound and a slow version on 4,000 attempts; the sound one was rolled back before.

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlin.math.exp
+import kotlin.math.ln
 
 /**
  * Limits on the exposure of requests to a bad version.
@@ -183,10 +184,11 @@
     count: Int,
     expected: Double,
 ): Double {
-    var term = exp(-expected)
+    // Summed from the largest term down: the first one, for no event, is zero in floating point for large numbers.
+    var term = exp((1..count).sumOf { ln(expected / it) } - expected)
     var sum = term
-    for (events in 1..count) {
-        term *= expected / events
+    for (events in count downTo 1) {
+        term *= events / expected
         sum += term
     }
     return sum
--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
@@ -129,6 +129,20 @@
             true,
             FleetRolloutPhase.RolledBack,
         ),
+        Case(
+            "completes on a fleet with thousands of attempts",
+            tally(RouteTally("r", 20_000, 0, 2_000_000), RouteTally("r", 4_000, 0, 400_000)),
+            23_000,
+            true,
+            FleetRolloutPhase.Completed,
+        ),
+        Case(
+            "rolls back at its end on a fleet where thousands of attempts take twice as long",
+            tally(RouteTally("r", 20_000, 0, 2_000_000), RouteTally("r", 4_000, 0, 800_000)),
+            23_000,
+            true,
+            FleetRolloutPhase.RolledBack,
+        ),
         Case(
             "completes when some attempts of a sound version are overdue",
             RolloutTally(
