Log which requests were in progress when an upstream crashed

The line named the identifiers of prompt parts only, and of a request without a prompt just a hash. No decision changes.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
@@ -5,7 +5,6 @@
 package io.carawaytrack.gateway
 
 import io.carawaytrack.fleet.FleetUpstream
-import io.carawaytrack.fleet.PromptParts
 
 /** Time since the first event of an answer after which its prompt is not the cause of a later crash. */
 private const val SOUND_AFTER_MILLIS = 500L
@@ -17,7 +16,7 @@
 private const val MAX_CRASHES = 2
 
 internal class AnswerWatch(
-    private val prompt: () -> PromptParts,
+    private val request: CallerRequest,
     private val crashes: CrashDetector,
 ) {
     private var firstEventAtMillis: Long? = null
@@ -39,19 +38,19 @@
         sound = now - firstAtMillis >= SOUND_AFTER_MILLIS
         if (!sound || now - recordedAtMillis < PROGRESS_RECORD_INTERVAL_MILLIS) return
         recordedAtMillis = now
-        crashes.recordSound(prompt())
+        crashes.recordSound(request.prompt)
     }
 
-    fun answerCompleted() = crashes.recordSound(prompt())
+    fun answerCompleted() = crashes.recordSound(request.prompt)
 
     /** Handles a broken attempt on [upstream]; calls [done] once it is known whether the upstream has crashed. */
     fun attemptBroken(
         upstream: FleetUpstream,
         done: () -> Unit,
     ) {
-        if (sound) crashes.recordSound(prompt())
+        if (sound) crashes.recordSound(request.prompt)
         if (sound) return done()
-        crashes.check(upstream, prompt()) { crashed ->
+        crashes.check(upstream, request) { crashed ->
             if (crashed) crashCount++
             done()
         }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
@@ -14,7 +14,7 @@
     private val quarantine: PromptQuarantine,
 ) {
     private class Check {
-        val prompts = ArrayList<PromptParts>()
+        val requests = ArrayList<CallerRequest>()
         val callbacks = ArrayList<(Boolean) -> Unit>()
     }
 
@@ -24,17 +24,17 @@
     fun recordSound(prompt: PromptParts) = quarantine.recordSound(prompt)
 
     /**
-     * Checks [upstream] after an attempt that broke at the beginning of the answer to [prompt]; then calls [done] with
+     * Checks [upstream] after an attempt that broke at the beginning of the answer to [request]; then calls [done] with
      * whether the upstream has crashed.
      */
     fun check(
         upstream: FleetUpstream,
-        prompt: PromptParts,
+        request: CallerRequest,
         done: (Boolean) -> Unit,
     ) {
         val running = checks[upstream.address]
         val check = running ?: Check().also { checks[upstream.address] = it }
-        check.prompts += prompt
+        check.requests += request
         check.callbacks += done
         if (running == null) checkListening(upstream.address) { listening -> finish(upstream, listening) }
     }
@@ -45,9 +45,17 @@
     ) {
         val check = checks.remove(upstream.address) ?: return
         if (!listening) {
-            logEvent("upstream_crashed", mapOf("upstream" to upstream.id.value, "prompts" to check.prompts))
-            quarantine.recordCrash(upstream.id, upstream.startedAtMillis, check.prompts)
+            val suspects = check.requests.map(::fieldsOf)
+            logEvent("upstream_crashed", mapOf("upstream" to upstream.id.value, "requests" to suspects))
+            quarantine.recordCrash(upstream.id, upstream.startedAtMillis, check.requests.map { it.prompt })
         }
         check.callbacks.forEach { it(!listening) }
     }
 }
+
+private fun fieldsOf(request: CallerRequest): Map<String, Any?> = mapOf(
+    "requestId" to request.id,
+    "route" to request.route.name,
+    "organisation" to request.organisation?.name?.value,
+    "prompt" to request.prompt,
+)
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -66,7 +66,7 @@
         private set
     private var lastProgressAtMillis = 0L
     private var response: HttpResponse? = null
-    private val watch = AnswerWatch({ request.prompt }, context.crashes)
+    private val watch = AnswerWatch(request, context.crashes)
     private var callerDisconnected = false
     private var mayHaveRun = false
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
@@ -54,6 +54,7 @@
     private val unreportedSound = LinkedHashSet<String>()
     private var implicatedParts: Set<String> = emptySet()
     private var quarantined: List<Set<String>>? = emptyList()
+    private var loggedCauses: List<Set<String>> = emptyList()
 
     /** Whether any crash is known; otherwise nothing is refused. */
     val isActive: Boolean get() = crashes.isNotEmpty()
@@ -150,7 +151,16 @@
         crash: Crash,
     ): Boolean = (soundAtMillis[part] ?: Long.MIN_VALUE) < crash.atMillis - CLEARED_BEFORE_MILLIS
 
-    private fun current(): List<Set<String>> = quarantined ?: findCauses().also { quarantined = it }
+    private fun current(): List<Set<String>> = quarantined ?: findCauses().also {
+        quarantined = it
+        logIfChanged(it)
+    }
+
+    private fun logIfChanged(causes: List<Set<String>>) {
+        if (causes == loggedCauses) return
+        loggedCauses = causes
+        logEvent("quarantine_changed", mapOf("causes" to causes, "crashes" to crashes.size))
+    }
 
     /** Returns the sets of parts that explain the crashes, those that explain most of them first. */
     private fun findCauses(): List<Set<String>> {
