Add a failing test for deadly requests of one route that all differ

Callers of other requests lose their service: each request without a prompt crashes up to three upstreams, two by the host's attempts and one by the caller's repeat.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
@@ -5,7 +5,6 @@
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
-import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import java.io.OutputStream
 
@@ -41,6 +40,8 @@
 
     private fun lookup(item: String) = statusOf(request("/lookup/$item"))
 
+    private fun crashed() = upstreams.count { upstream -> upstream.requests.any { it.isDeadly() } }
+
     private fun statusOf(request: String) = exchange(request)?.start.orEmpty().substring(9, 12)
 
     @Test
@@ -50,7 +51,7 @@
         expectThat(draft("a:9,deadly:5,own1:1")).isEqualTo("502")
         expectThat(draft("a:9,deadly:5,own2:1")).isEqualTo("502")
         repeat(5) { expectThat(draft("a:9,deadly:5,own${3 + it}:1")).isEqualTo("503") }
-        expectThat(upstreams.filter { upstream -> upstream.requests.any { it.isDeadly() } }).hasSize(3)
+        expectThat(crashed()).isEqualTo(3)
         expectThat(draft("a:9,own9:1")).isEqualTo("200")
     }
 
@@ -59,7 +60,16 @@
         serveCrashing(count = 6)
         repeat(2) { expectThat(lookup("deadly")).isEqualTo("502") }
         repeat(3) { expectThat(lookup("deadly")).isEqualTo("503") }
-        expectThat(upstreams.filter { upstream -> upstream.requests.any { it.isDeadly() } }).hasSize(3)
+        expectThat(crashed()).isEqualTo(3)
+        expectThat(lookup("other")).isEqualTo("200")
+    }
+    @Test
+    fun `deadly requests of one route that all differ do not crash several upstreams each`() {
+        serveCrashing(count = 10)
+        repeat(3) { expectThat(lookup("deadly$it")).isEqualTo("502") }
+        val crashedBefore = crashed()
+        repeat(2) { expectThat(lookup("deadly3")).isEqualTo(if (it == 0) "502" else "503") }
+        expectThat(crashed()).isEqualTo(crashedBefore + 1)
         expectThat(lookup("other")).isEqualTo("200")
     }
 }
