Quarantine single requests of a route whose crashes have no part in common

Cause: the quarantine allows each content three crashes before it refuses it. Contents that never recur are never found; the host's second attempt and the caller's repeat crash an upstream each.

Change: a prompt carries its route. From three crashes on a route that no recurring part explains, a request that was in progress at one of them is refused when it comes again, through any host; so is the host's own second attempt. A recurring cause counts as one crash. Requests of other routes that were in progress at the same crashes aren't suspected, unless crashes remain without the route.

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/CrashReport.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/CrashReport.kt
@@ -7,9 +7,21 @@
 import io.carawaytrack.model.UpstreamId
 import kotlinx.serialization.Serializable
 
-/** A prompt as the identifiers of its parts, in order. */
+/** A prompt as the identifiers of its parts, in order; an entry of [routePart] tells the route of its request. */
 public typealias PromptParts = List<String>
 
+/** Begins the entry with a route's name. Identifiers of parts contain no colon. */
+private const val ROUTE_PREFIX = "route:"
+
+/** Returns the entry of a prompt that tells the route with [name]. */
+public fun routePart(name: String): String = ROUTE_PREFIX + name
+
+/** Returns whether [part] tells the route of a request and isn't a part of its prompt. */
+public fun isRoute(part: String): Boolean = part.startsWith(ROUTE_PREFIX)
+
+/** Returns the entry of [prompt] that tells the route, or null if there is none, as hosts of older builds send none. */
+public fun routeOf(prompt: PromptParts): String? = prompt.firstOrNull(::isRoute)
+
 /**
  * Describes the crash of an upstream.
  *
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -9,6 +9,7 @@
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.fleet.RouteMatch
+import io.carawaytrack.fleet.routePart
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
@@ -63,9 +64,9 @@
 ) {
     val rank: Int = organisation?.priority ?: route.priority
 
-    /** Identifiers of the prompt's parts; a request without a prompt counts as one part, its content. */
+    /** The route and the prompt's parts; a request without a prompt counts as one part, its content. */
     val prompt: PromptParts by lazy(LazyThreadSafetyMode.NONE) {
-        demand.parts.map { it.id }.ifEmpty { listOf(contentId()) }
+        listOf(routePart(route.name)) + demand.parts.map { it.id }.ifEmpty { listOf(contentId()) }
     }
 
     /** Whether the gateway selects the model. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
@@ -3,7 +3,8 @@
  * Each crash implicates the prompts that the upstream may have begun to answer. A part that an upstream has answered
  * around that time or since is cleared. Among the others, a part that was in the prompts of enough crashes is
  * quarantined: requests are refused if they contain it and all parts that always came with it, so that a request that
- * shares some of those parts can still clear them.
+ * shares some of those parts can still clear them. On a route whose crashes have no part in common, each implicated
+ * request is refused when it comes again.
  *
  * The quarantine is meant for a few crashes in a minute. It has neither a network nor a timer; hosts exchange reports.
  */
@@ -13,14 +14,10 @@
 import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.fleet.SoundPart
 import io.carawaytrack.fleet.UpstreamCrash
+import io.carawaytrack.fleet.isRoute
+import io.carawaytrack.fleet.routeOf
 import io.carawaytrack.model.UpstreamId
 
-/** Number of crashes at different times from which a part is quarantined. */
-private const val CRASHES_TO_QUARANTINE = 3
-
-/** Crashes closer to each other than this count as one: a cause outside the prompts takes several upstreams at once. */
-private const val SAME_MOMENT_MILLIS = 50L
-
 /** Time before a crash within which an answer clears the parts of its prompt. */
 private const val CLEARED_BEFORE_MILLIS = 2_000L
 
@@ -66,7 +63,7 @@
     }
 
     /** Records that an upstream is answering [prompt], or has answered it. */
-    fun recordSound(prompt: PromptParts) = prompt.forEach { part -> recordSound(part, nowMillis()) }
+    fun recordSound(prompt: PromptParts) = prompt.filterNot(::isRoute).forEach { recordSound(it, nowMillis()) }
 
     /** Records a crash of the upstream [id] with the [prompts] that it may have begun to answer for this host. */
     fun recordCrash(
@@ -115,8 +112,8 @@
         val added = crash.prompts.addAll(prompts.take(MAX_PROMPTS_PER_CRASH - crash.prompts.size))
         if (crashes.size > MAX_CRASHES) crashes.remove(crashes.keys.first())
         if (!added) return false
-        implicatedParts = crashes.values.flatMapTo(HashSet()) { it.prompts.flatten() }
-        prompts.flatten().filterTo(unreportedSound) { !isImplicated(it, crash) }
+        implicatedParts = crashes.values.flatMapTo(HashSet()) { it.prompts.flatten().filterNot(::isRoute) }
+        prompts.flatten().filterTo(unreportedSound) { !isRoute(it) && !isImplicated(it, crash) }
         quarantined = null
         return true
     }
@@ -149,7 +146,7 @@
     private fun isImplicated(
         part: String,
         crash: Crash,
-    ): Boolean = (soundAtMillis[part] ?: Long.MIN_VALUE) < crash.atMillis - CLEARED_BEFORE_MILLIS
+    ): Boolean = !isRoute(part) && (soundAtMillis[part] ?: Long.MIN_VALUE) < crash.atMillis - CLEARED_BEFORE_MILLIS
 
     private fun current(): List<Set<String>> = quarantined ?: findCauses().also {
         quarantined = it
@@ -162,35 +159,14 @@
         logEvent("quarantine_changed", mapOf("causes" to causes, "crashes" to crashes.size))
     }
 
-    /** Returns the sets of parts that explain the crashes, those that explain most of them first. */
-    private fun findCauses(): List<Set<String>> {
-        val promptsOf = HashMap<String, MutableList<Pair<Crash, Set<String>>>>()
-        crashes.values.forEach { crash ->
-            crash.prompts.forEach { prompt ->
+    private fun findCauses(): List<Set<String>> = findCrashCauses(
+        crashes.entries.flatMap { (id, crash) ->
+            crash.prompts.mapNotNull { prompt ->
                 val implicated = prompt.filterTo(HashSet()) { isImplicated(it, crash) }
-                implicated.forEach { promptsOf.getOrPut(it, ::ArrayList) += crash to implicated }
+                if (implicated.isEmpty()) null else CrashSuspect(id, crash.atMillis, routeOf(prompt), implicated)
             }
-        }
-        val explained = HashSet<Crash>()
-        val causes = ArrayList<Set<String>>()
-        promptsOf.values.sortedByDescending { occurrences -> momentsOf(occurrences.map { it.first }) }.forEach { all ->
-            val unexplained = all.map { it.first }.filter { it !in explained }
-            if (momentsOf(unexplained) < CRASHES_TO_QUARANTINE) return@forEach
-            causes += all.map { it.second }.reduce { common, parts -> common intersect parts }
-            explained += unexplained
-        }
-        return causes
-    }
-
-    private fun momentsOf(crashes: List<Crash>): Int {
-        var moments = 0
-        var lastAtMillis: Long? = null
-        crashes.map { it.atMillis }.sorted().forEach { atMillis ->
-            if (lastAtMillis.let { it == null || atMillis - it >= SAME_MOMENT_MILLIS }) moments++
-            lastAtMillis = atMillis
-        }
-        return moments
-    }
+        },
+    )
 }
 
 /** Keeps at most [maxEntries] entries and evicts the least recently used one. */
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/PromptQuarantineTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/PromptQuarantineTest.kt
@@ -91,6 +91,36 @@
                     quarantine.crash("a ${1 + it}")
                 }
             },
+            Case("each request of a route on which different ones crashed", listOf("$R x1", "$R x4"), listOf("$R x5")) {
+                repeat(4) { quarantine.crash("$R x${1 + it}") }
+            },
+            Case("nothing after different requests of a route crashed twice", emptyList(), listOf("$R x1", "$R x2")) {
+                repeat(2) { quarantine.crash("$R x${1 + it}") }
+            },
+            Case("no request of a route that was there at some of the crashes", listOf("$R x1"), listOf("$P y1")) {
+                quarantine.crash("$R x1", "$P y1")
+                quarantine.crash("$R x2")
+                quarantine.crash("$R x3", "$P y3")
+                quarantine.crash("$R x4", "$P y4")
+            },
+            Case("no request of a series that was answered later", listOf("$R x1"), listOf("$R s1")) {
+                quarantine.crash("$R x1", "$R s1")
+                quarantine.answer("$R s1")
+                quarantine.crash("$R x2")
+                quarantine.crash("$R x3")
+            },
+            Case("no single request beside one harmful part", listOf("$R d 9"), listOf("$R x1")) {
+                repeat(4) { quarantine.crash("$R d $it") }
+                quarantine.crash("$R x1")
+            },
+            Case("a single request beside two harmful parts", listOf("$R d 9", "$R e 9", "$R x1"), listOf("$R 9")) {
+                repeat(3) { quarantine.crash("$R d $it") }
+                repeat(3) { quarantine.crash("$R e $it") }
+                quarantine.crash("$R x1")
+            },
+            Case("no requests of a route whose upstreams crashed at once", emptyList(), listOf("$R x1")) {
+                repeat(4) { quarantine.crash("$R x${1 + it}", afterMillis = 10) }
+            },
             Case("a part whose crashes two hosts saw", listOf("c d 9"), listOf("c 9")) {
                 quarantine.crash("a d 1")
                 otherHost.crash("b d 2")
@@ -104,6 +134,11 @@
             },
         )
 
+    private companion object {
+        const val R = "route:lookup"
+        const val P = "route:pay"
+    }
+
     @TestFactory
     fun `a prompt part that crashes upstreams does not reach a fourth one, and sound prompts are served`() =
         cases.map { case ->
