Pause callers whose requests crash one upstream after the other

Cause: nothing connects crashes by where the requests come from.

Change: a prompt carries its caller (organisation and route). A caller that was in progress at three crashes which no recurring part explains is refused on that route, 503 not run with Retry-After, for ten seconds after its last crash, twice as long after each further one. It is served if it got four answers for each of the crashes: then it was there by chance, or is too rarely harmful to be denied service. Hosts sum these answers by process, so reports that arrive twice change nothing. Refusals of parts of prompts carry the end of their quarantine as well.

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/CrashReport.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/CrashReport.kt
@@ -7,20 +7,30 @@
 import io.carawaytrack.model.UpstreamId
 import kotlinx.serialization.Serializable
 
-/** A prompt as the identifiers of its parts, in order; an entry of [routePart] tells the route of its request. */
+/** A prompt as the identifiers of its parts, in order, with entries of [routePart] and [callerPart] for its request. */
 public typealias PromptParts = List<String>
 
-/** Begins the entry with a route's name. Identifiers of parts contain no colon. */
+/** Begin the entries that tell where a request comes from. Identifiers of prompt parts contain no colon. */
 private const val ROUTE_PREFIX = "route:"
+private const val CALLER_PREFIX = "caller:"
 
 /** Returns the entry of a prompt that tells the route with [name]. */
 public fun routePart(name: String): String = ROUTE_PREFIX + name
 
-/** Returns whether [part] tells the route of a request and isn't a part of its prompt. */
-public fun isRoute(part: String): Boolean = part.startsWith(ROUTE_PREFIX)
+/** Returns the entry of a prompt that tells the [organisation] whose requests on [route] it belongs to. */
+public fun callerPart(
+    organisation: String,
+    route: String,
+): String = "$CALLER_PREFIX$organisation/$route"
+
+/** Returns whether [part] tells where a request comes from and isn't a part of its prompt. */
+public fun isOrigin(part: String): Boolean = part.startsWith(ROUTE_PREFIX) || part.startsWith(CALLER_PREFIX)
 
 /** Returns the entry of [prompt] that tells the route, or null if there is none, as hosts of older builds send none. */
-public fun routeOf(prompt: PromptParts): String? = prompt.firstOrNull(::isRoute)
+public fun routeOf(prompt: PromptParts): String? = prompt.firstOrNull { it.startsWith(ROUTE_PREFIX) }
+
+/** Returns the entry of [prompt] that tells the caller, or null if there is none, as on routes that need no key. */
+public fun callerOf(prompt: PromptParts): String? = prompt.firstOrNull { it.startsWith(CALLER_PREFIX) }
 
 /**
  * Describes the crash of an upstream.
@@ -44,12 +54,25 @@
     val ageMillis: Long,
 )
 
-/** Crashes, and the parts of their prompts that are known not to cause them. */
+/**
+ * States how many requests of [caller] upstreams have answered for the host process [host].
+ *
+ * @property count total since [caller] was first in progress at a crash that this process knows
+ */
+@Serializable
+public data class CallerAnswers(
+    val caller: String,
+    val host: Long,
+    val count: Int,
+)
+
+/** Crashes, the parts of their prompts that are known not to cause them, and answers to callers in their prompts. */
 @Serializable
 public data class CrashReport(
     val crashes: List<UpstreamCrash>,
     val sound: List<SoundPart>,
+    val answers: List<CallerAnswers> = emptyList(),
 ) {
     /** Whether the report contains nothing. */
-    public val isEmpty: Boolean get() = crashes.isEmpty() && sound.isEmpty()
+    public val isEmpty: Boolean get() = crashes.isEmpty() && sound.isEmpty() && answers.isEmpty()
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
@@ -41,7 +41,7 @@
         crashes.recordSound(request.prompt)
     }
 
-    fun answerCompleted() = crashes.recordSound(request.prompt)
+    fun answerCompleted() = crashes.recordAnswered(request.prompt)
 
     /** Handles a broken attempt on [upstream]; calls [done] once it is known whether the upstream has crashed. */
     fun attemptBroken(
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -9,6 +9,7 @@
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.fleet.RouteMatch
+import io.carawaytrack.fleet.callerPart
 import io.carawaytrack.fleet.routePart
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -64,9 +65,10 @@
 ) {
     val rank: Int = organisation?.priority ?: route.priority
 
-    /** The route and the prompt's parts; a request without a prompt counts as one part, its content. */
+    /** Route and caller, then the prompt's parts; a request without a prompt counts as one part, its content. */
     val prompt: PromptParts by lazy(LazyThreadSafetyMode.NONE) {
-        listOf(routePart(route.name)) + demand.parts.map { it.id }.ifEmpty { listOf(contentId()) }
+        listOfNotNull(routePart(route.name), organisation?.let { callerPart(it.name.value, route.name) }) +
+            demand.parts.map { it.id }.ifEmpty { listOf(contentId()) }
     }
 
     /** Whether the gateway selects the model. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
@@ -1,16 +1,17 @@
 /*
  * Inference of what makes upstreams crash from the requests that were in progress at each crash. Parts of prompts that
  * come back in enough crashes are found first. If crashes remain on a route that they don't explain, each of its
- * requests may be harmful by itself; then one crash is enough to suspect a request.
+ * requests may be harmful by itself; then one crash is enough to suspect a request. A caller whose requests were in
+ * progress at a series of such crashes may send more of them, each with another content.
  *
  * The number of crashes is meant to be some tens, with some tens of requests each.
  */
 package io.carawaytrack.gateway
 
 /** Number of crashes at different times that are taken for a series with a common cause. */
-private const val CRASHES_IN_SERIES = 3
+internal const val CRASHES_IN_SERIES = 3
 
-/** Crashes closer to each other than this count as one: a cause outside the requests takes several upstreams at once. */
+/** Crashes closer to each other than this count as one: a cause outside the requests takes several upstreams. */
 private const val SAME_MOMENT_MILLIS = 50L
 
 /**
@@ -18,60 +19,112 @@
  *
  * @property crash identity of the crash; the same for all requests that were in progress
  * @property route route of the request; null if it isn't known
+ * @property caller organisation and route of the request; null if either isn't known
  * @property parts parts of its prompt that no upstream has answered since or shortly before
  */
 internal data class CrashSuspect(
     val crash: Any,
     val crashedAtMillis: Long,
     val route: String?,
+    val caller: String?,
     val parts: Set<String>,
 )
 
-/** Returns the sets of parts that explain the crashes; a request that contains all parts of a set is harmful. */
-internal fun findCrashCauses(suspects: List<CrashSuspect>): List<Set<String>> {
+/**
+ * A set of parts that explains crashes, the last of which was at [lastCrashMillis]; a request that contains all [parts]
+ * is harmful.
+ */
+internal data class CrashCause(
+    val parts: Set<String>,
+    val lastCrashMillis: Long,
+)
+
+/**
+ * A caller with requests in progress at a series of crashes that no recurring part explains.
+ *
+ * @property crashes number of crashes at different times
+ */
+internal data class CrashingCaller(
+    val caller: String,
+    val crashes: Int,
+    val lastCrashMillis: Long,
+)
+
+/** What explains the known crashes. */
+internal data class CrashCauses(
+    val requests: List<CrashCause>,
+    val callers: List<CrashingCaller>,
+)
+
+/** Returns what explains the crashes at which [suspects] were in progress. */
+internal fun findCrashCauses(suspects: List<CrashSuspect>): CrashCauses {
     val explained = HashSet<Any>()
     val recurring = findRecurringParts(suspects, explained)
-    return recurring + findSingleRequests(suspects, recurring, explained)
+    val callers = findCallers(suspects, recurring, explained)
+    return CrashCauses(recurring + findSingleRequests(suspects, recurring, explained), callers)
 }
 
 /** Returns the parts that come back in the crashes of a series, those that explain most crashes first. */
 private fun findRecurringParts(
     suspects: List<CrashSuspect>,
     explained: MutableSet<Any>,
-): List<Set<String>> {
+): List<CrashCause> {
     val suspectsOf = HashMap<String, MutableList<CrashSuspect>>()
     suspects.forEach { suspect -> suspect.parts.forEach { suspectsOf.getOrPut(it, ::ArrayList) += suspect } }
-    val causes = ArrayList<Set<String>>()
+    val causes = ArrayList<CrashCause>()
     suspectsOf.values.sortedByDescending(::countMoments).forEach { all ->
         val unexplained = all.filter { it.crash !in explained }
         if (countMoments(unexplained) < CRASHES_IN_SERIES) return@forEach
-        causes += all.map { it.parts }.reduce { common, parts -> common intersect parts }
+        val common = all.map { it.parts }.reduce { common, parts -> common intersect parts }
+        causes += CrashCause(common, lastCrashMillis(all))
         unexplained.mapTo(explained) { it.crash }
     }
     return causes
 }
 
-/**
- * Returns the requests of routes with a series of crashes that have no common part. A recurring cause counts as one
- * crash of the series, however many upstreams it took.
- */
+/** Returns the callers with requests in progress at a series of crashes that [recurring] causes don't explain. */
+private fun findCallers(
+    suspects: List<CrashSuspect>,
+    recurring: List<CrashCause>,
+    explained: Set<Any>,
+): List<CrashingCaller> {
+    val byCaller = suspects.groupBy { it.caller }
+    return byCaller.mapNotNull { (caller, all) ->
+        val crashes = countInSeries(all, recurring, explained)
+        if (caller == null || crashes < CRASHES_IN_SERIES) return@mapNotNull null
+        CrashingCaller(caller, crashes, lastCrashMillis(all))
+    }
+}
+
+/** Returns the requests of routes with a series of crashes that [recurring] causes don't explain. */
 private fun findSingleRequests(
     suspects: List<CrashSuspect>,
-    recurring: List<Set<String>>,
+    recurring: List<CrashCause>,
     explained: MutableSet<Any>,
-): List<Set<String>> {
+): List<CrashCause> {
     val byRoute = suspects.filter { it.route != null }.groupBy { it.route }.values
-    val causes = ArrayList<Set<String>>()
+    val causes = ArrayList<CrashCause>()
     byRoute.sortedByDescending(::countMoments).forEach { all ->
+        if (countInSeries(all, recurring, explained) < CRASHES_IN_SERIES) return@forEach
         val unexplained = all.filter { it.crash !in explained }
-        val recurringOnRoute = recurring.count { cause -> all.any { it.parts.containsAll(cause) } }
-        if (countMoments(unexplained) + recurringOnRoute < CRASHES_IN_SERIES) return@forEach
-        causes += unexplained.map { it.parts }
+        unexplained.mapTo(causes) { CrashCause(it.parts, it.crashedAtMillis) }
         unexplained.mapTo(explained) { it.crash }
     }
     return causes
 }
 
+/** Counts the crashes in a series of [suspects]; a recurring cause counts as one, however many upstreams it took. */
+private fun countInSeries(
+    suspects: List<CrashSuspect>,
+    recurring: List<CrashCause>,
+    explained: Set<Any>,
+): Int {
+    val recurringAmong = recurring.count { cause -> suspects.any { it.parts.containsAll(cause.parts) } }
+    return countMoments(suspects.filter { it.crash !in explained }) + recurringAmong
+}
+
+private fun lastCrashMillis(suspects: List<CrashSuspect>) = suspects.maxOf { it.crashedAtMillis }
+
 private fun countMoments(suspects: List<CrashSuspect>): Int {
     var moments = 0
     var lastAtMillis: Long? = null
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
@@ -20,9 +20,12 @@
 
     private val checks = HashMap<HostPort, Check>()
 
-    /** Records that an upstream is answering [prompt], or has answered it. */
+    /** Records that an upstream is answering [prompt] without a crash. */
     fun recordSound(prompt: PromptParts) = quarantine.recordSound(prompt)
 
+    /** Records that an upstream has answered [prompt] completely. */
+    fun recordAnswered(prompt: PromptParts) = quarantine.recordAnswered(prompt)
+
     /**
      * Checks [upstream] after an attempt that broke at the beginning of the answer to [request]; then calls [done] with
      * whether the upstream has crashed.
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -106,6 +106,14 @@
         else -> attemptsExhausted(exchange)
     }
 
+    private fun quarantined(
+        exchange: Exchange,
+        refusedForMillis: Long,
+    ) = when {
+        exchange.hasNotRun -> ErrorKind.PromptQuarantined.notRun(retryAfterMillis = refusedForMillis)
+        else -> attemptsExhausted(exchange)
+    }
+
     private fun attemptsExhausted(exchange: Exchange) = Failure(
         ErrorKind.UpstreamFailed,
         Execution.MayHaveRun,
@@ -116,10 +124,9 @@
     private fun tryPlace(exchange: Exchange): Boolean {
         val pool = exchange.pool ?: return false
         val request = exchange.request
-        if (quarantine.isActive && quarantine.refuses(request.prompt)) {
-            exchange.fail(
-                if (exchange.hasNotRun) ErrorKind.PromptQuarantined.notRun() else attemptsExhausted(exchange),
-            )
+        val refusedForMillis = if (quarantine.isActive) quarantine.refusedForMillis(request.prompt) else null
+        if (refusedForMillis != null) {
+            exchange.fail(quarantined(exchange, refusedForMillis))
             return true
         }
         val model = if (request.gatewayChoosesModel) request.route.models.getOrNull(exchange.modelIndex) else null
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
@@ -38,7 +38,10 @@
 
     private fun draft(parts: String) = statusOf(request("/draft/x", headers = "x-parts: $parts\n"))
 
-    private fun lookup(item: String) = statusOf(request("/lookup/$item"))
+    private fun lookup(
+        item: String,
+        key: String = "k1",
+    ) = statusOf(request("/lookup/$item", key = key))
 
     private fun crashed() = upstreams.count { upstream -> upstream.requests.any { it.isDeadly() } }
 
@@ -63,13 +66,28 @@
         expectThat(crashed()).isEqualTo(3)
         expectThat(lookup("other")).isEqualTo("200")
     }
+
     @Test
     fun `deadly requests of one route that all differ do not crash several upstreams each`() {
         serveCrashing(count = 10)
-        repeat(3) { expectThat(lookup("deadly$it")).isEqualTo("502") }
+        repeat(3) { deadly ->
+            expectThat(lookup("deadly$deadly")).isEqualTo("502")
+            repeat(12) { expectThat(lookup("sound$deadly-$it")).isEqualTo("200") }
+        }
         val crashedBefore = crashed()
         repeat(2) { expectThat(lookup("deadly3")).isEqualTo(if (it == 0) "502" else "503") }
         expectThat(crashed()).isEqualTo(crashedBefore + 1)
         expectThat(lookup("other")).isEqualTo("200")
     }
+
+    @Test
+    fun `deadly requests of one organisation do not take the upstreams of the others`() {
+        serveCrashing(count = 6)
+        repeat(8) { lookup("deadly$it") }
+        expectThat(crashed()).isEqualTo(3)
+        expectThat(lookup("sound")).isEqualTo("503")
+        expectThat(lookup("sound", key = "k2")).isEqualTo("200")
+        advance(MIN_CALLER_PAUSE_MILLIS)
+        expectThat(lookup("sound")).isEqualTo("200")
+    }
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -111,11 +111,16 @@
                     route("prompt", streaming = true, targetMillis = 400),
                 ),
             pools = listOf("stock", "llm").map { pool(it) }.associateBy { it.name },
-            organisations = listOf(CatalogOrganisation(OrganisationName("stalls"), setOf("k1"), priority = null)),
+            organisations = listOf(organisation("stalls", "k1"), organisation("scribes", "k2")),
             keysRequired = true,
             limits = CallerLimits(maxBodyBytes = 1_000),
         )
 
+    private fun organisation(
+        name: String,
+        key: String,
+    ) = CatalogOrganisation(OrganisationName(name), setOf(key), priority = null)
+
     private fun pool(name: String) = CatalogPool(
         name = PoolName(name),
         healthPath = "/",
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/PromptQuarantineTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/PromptQuarantineTest.kt
@@ -22,6 +22,8 @@
 
     private fun prompt(parts: String): PromptParts = parts.split(' ')
 
+    private fun PromptQuarantine.refuses(prompt: String) = refusedForMillis(prompt(prompt)) != null
+
     /** Lets an upstream crash [afterMillis] after the last event, with the [prompts] of one host. */
     private fun PromptQuarantine.crash(
         vararg prompts: String,
@@ -32,9 +34,12 @@
         exchangeReports()
     }
 
-    private fun PromptQuarantine.answer(prompt: String) {
-        nowMillis += 100
-        recordSound(prompt(prompt))
+    private fun PromptQuarantine.answer(
+        prompt: String,
+        afterMillis: Long = 100,
+    ) {
+        nowMillis += afterMillis
+        recordAnswered(prompt(prompt))
         exchangeReports()
     }
 
@@ -121,6 +126,27 @@
             Case("no requests of a route whose upstreams crashed at once", emptyList(), listOf("$R x1")) {
                 repeat(4) { quarantine.crash("$R x${1 + it}", afterMillis = 10) }
             },
+            Case("a caller whose requests all differ", listOf("$R $C x9"), listOf("$R $OTHER x9", "$P $PAYING y9")) {
+                quarantine.crash("$R $C x1")
+                repeat(2) { quarantine.crash("$R $C x${2 + it}", "$P $PAYING y$it") }
+            },
+            Case("a caller whose crashes and answers several hosts saw", listOf("$R $C x9"), listOf("$R $OTHER x9")) {
+                quarantine.crash("$R $C x1", "$R $OTHER y1")
+                repeat(3) { quarantine.answer("$R $C s$it") }
+                otherHost.crash("$R $C x2")
+                repeat(8) { otherHost.answer("$R $C t$it") }
+                quarantine.crash("$R $C x3", "$R $OTHER y3")
+            },
+            Case("no caller with many answers for each crash", listOf("$R $C x1"), listOf("$R $C x9")) {
+                quarantine.crash("$R $C x1")
+                repeat(6) { quarantine.answer("$R $C s$it", afterMillis = 600) }
+                repeat(6) { otherHost.answer("$R $C t$it", afterMillis = 600) }
+                quarantine.crash("$R $C x2")
+                quarantine.crash("$R $C x3")
+            },
+            Case("no caller with one harmful part", listOf("$R $C d 9"), listOf("$R $C x9")) {
+                repeat(5) { quarantine.crash("$R $C d $it") }
+            },
             Case("a part whose crashes two hosts saw", listOf("c d 9"), listOf("c 9")) {
                 quarantine.crash("a d 1")
                 otherHost.crash("b d 2")
@@ -137,6 +163,9 @@
     private companion object {
         const val R = "route:lookup"
         const val P = "route:pay"
+        const val C = "caller:stalls/lookup"
+        const val PAYING = "caller:stalls/pay"
+        const val OTHER = "caller:scribes/lookup"
     }
 
     @TestFactory
@@ -146,8 +175,8 @@
                 val history = PromptQuarantineTest()
                 case.history(history)
                 listOf(history.quarantine, history.otherHost).forEach { host ->
-                    expectThat(case.refused.filter { host.refuses(prompt(it)) }).isEqualTo(case.refused)
-                    expectThat(case.served.filter { host.refuses(prompt(it)) }).isEqualTo(emptyList())
+                    expectThat(case.refused.filter { host.refuses(it) }).isEqualTo(case.refused)
+                    expectThat(case.served.filter { host.refuses(it) }).isEqualTo(emptyList())
                 }
             }
         }
@@ -156,13 +185,24 @@
     fun `a host that starts later refuses what the others refuse`() {
         repeat(3) { quarantine.crash("a$it d $it") }
         val started = PromptQuarantine { nowMillis }.apply { merge(quarantine.report()) }
-        expectThat(started.refuses(prompt("e d 9"))).isTrue()
+        expectThat(started.refuses("e d 9")).isTrue()
+    }
+
+    @Test
+    fun `a caller is served again after a pause that doubles with each crash`() {
+        repeat(3) { quarantine.crash("$R $C x$it") }
+        listOf(10_000L, 20_000L, 40_000L).forEachIndexed { index, pauseMillis ->
+            expectThat(quarantine.refusedForMillis(prompt("$R $C y"))).isEqualTo(pauseMillis)
+            nowMillis += pauseMillis
+            expectThat(quarantine.refuses("$R $C y")).isFalse()
+            quarantine.crash("$R $C z$index", afterMillis = 0)
+        }
     }
 
     @Test
     fun `a quarantine ends two minutes after the last crash`() {
         repeat(3) { quarantine.crash("a$it d $it") }
         nowMillis += 121_000
-        expectThat(quarantine.refuses(prompt("e d 9"))).isFalse()
+        expectThat(quarantine.refuses("e d 9")).isFalse()
     }
 }
