Report a crash to the other hosts before its callers are answered

Cause: hosts sent their reports of crashes with the next tick, up to 100 ms after the crash; a repeat came through another host sooner.

Change: the gateway tells its host of each crash as soon as it is recorded, before any request that was in progress ends. Test: the report precedes the answer.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
@@ -8,10 +8,14 @@
 import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.model.HostPort
 
-/** Records crashes in [quarantine]; [checkListening] reports whether an address accepts a connection. */
+/**
+ * Records crashes in [quarantine] and then calls [crashRecorded]; [checkListening] reports whether an address accepts a
+ * connection.
+ */
 internal class CrashDetector(
     private val checkListening: (HostPort, (Boolean) -> Unit) -> Unit,
     private val quarantine: PromptQuarantine,
+    private val crashRecorded: () -> Unit,
 ) {
     private class Check {
         val requests = ArrayList<CallerRequest>()
@@ -51,6 +55,7 @@
             val suspects = check.requests.map(::fieldsOf)
             logEvent("upstream_crashed", mapOf("upstream" to upstream.id.value, "requests" to suspects))
             quarantine.recordCrash(upstream.id, upstream.startedAtMillis, check.requests.map { it.prompt })
+            crashRecorded()
         }
         check.callbacks.forEach { it(!listening) }
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -28,6 +28,7 @@
     private val rollouts: RolloutTracker,
     private val connections: UpstreamConnections,
     private val meters: GatewayMeters,
+    crashRecorded: () -> Unit,
     private val nowMillis: () -> Long,
 ) : ExchangeContext {
     private val budgets = RetryBudgets(settings.retries, { upstreams.hosts }, nowMillis)
@@ -38,7 +39,7 @@
 
     /** Prompt parts that crash upstreams. */
     val quarantine = PromptQuarantine(nowMillis)
-    override val crashes = CrashDetector(connections::checkListening, quarantine)
+    override val crashes = CrashDetector(connections::checkListening, quarantine, crashRecorded)
 
     /** Version of the configuration in force, included in log events. */
     var configurationVersion: Long? = null
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -152,15 +152,19 @@
     public fun drain()
 }
 
-/** Starts a gateway on [group], which must have a single event loop. */
+/**
+ * Starts a gateway on [group], which must have a single event loop; [crashRecorded] is called when this host has
+ * detected a crash, before any request that was in progress at it ends.
+ */
 public fun Gateway(
     settings: GatewaySettings,
     headerNames: HeaderNames,
     group: EventLoopGroup,
     fleet: FleetKnowledge,
     meters: GatewayMeters = GatewayMeters(),
+    crashRecorded: () -> Unit = {},
     nowMillis: () -> Long,
-): Gateway = EventLoopGateway(settings, headerNames, group, fleet, meters, nowMillis).also { it.start() }
+): Gateway = EventLoopGateway(settings, headerNames, group, fleet, meters, crashRecorded, nowMillis).also { it.start() }
 
 private class EventLoopGateway(
     private val settings: GatewaySettings,
@@ -168,6 +172,7 @@
     group: EventLoopGroup,
     private val fleet: FleetKnowledge,
     meters: GatewayMeters,
+    crashRecorded: () -> Unit,
     private val nowMillis: () -> Long,
 ) : Gateway {
     private val callers =
@@ -179,7 +184,8 @@
     private val connections = UpstreamConnections(group, nowMillis)
     private val rollouts = RolloutTracker(settings.rollouts, fleet.rolloutElapsedMillis)
     private val upstreams = UpstreamDirectory(settings.zone, rollouts, connections, nowMillis)
-    private val dispatcher = Dispatcher(settings, headerNames, upstreams, rollouts, connections, meters, nowMillis)
+    private val dispatcher =
+        Dispatcher(settings, headerNames, upstreams, rollouts, connections, meters, crashRecorded, nowMillis)
     private var catalog: Catalog? = null
     private var draining = false
     private var ticks = 0L
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
@@ -90,4 +90,11 @@
         advance(MIN_CALLER_PAUSE_MILLIS)
         expectThat(lookup("sound")).isEqualTo("200")
     }
+
+    @Test
+    fun `a crash is reported before its callers are answered, so that no repeat overtakes the report`() {
+        serveCrashing(count = 2)
+        exchange(request("/lookup/deadly"))
+        expectThat(crashesRecorded.get()).isEqualTo(2)
+    }
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -24,6 +24,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
 internal val headerNames =
@@ -53,12 +54,14 @@
     private val group = NioEventLoopGroup(1)
     protected val callers = ServerSocket(0).use { HostPort("127.0.0.1", it.localPort) }
     protected val upstreams = ArrayList<FakeUpstream>()
+    protected val crashesRecorded = AtomicInteger()
     protected val gateway =
         Gateway(
             GatewaySettings(callers, ZoneName("a"), RetrySettings(retryRatio = 1.0, minRetries = 100)),
             headerNames,
             group,
             FleetKnowledge(upstreams = { emptyList() }, rolloutElapsedMillis = { 0 }),
+            crashRecorded = { crashesRecorded.incrementAndGet() },
         ) { nowMillis() }
 
     init {
