Suspect single requests and callers only where there is no prompt

Cause: an engine has tens of requests in progress when it crashes; each of them, and each organisation among them, was suspected after three crashes. Prompts have parts that come back, by which the cause is found without that.

Change: single requests and callers are inferred from requests without a prompt only. The content entry gets a prefix of its own, by which it is recognised.

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/CrashReport.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/CrashReport.kt
@@ -7,12 +7,16 @@
 import io.carawaytrack.model.UpstreamId
 import kotlinx.serialization.Serializable
 
-/** A prompt as the identifiers of its parts, in order, with entries of [routePart] and [callerPart] for its request. */
+/**
+ * A prompt as the identifiers of its parts, in order, with entries of [routePart] and [callerPart] for its request. A
+ * request without a prompt has one entry of [contentPart] instead of parts.
+ */
 public typealias PromptParts = List<String>
 
 /** Begin the entries that tell where a request comes from. Identifiers of prompt parts contain no colon. */
 private const val ROUTE_PREFIX = "route:"
 private const val CALLER_PREFIX = "caller:"
+private const val CONTENT_PREFIX = "content:"
 
 /** Returns the entry of a prompt that tells the route with [name]. */
 public fun routePart(name: String): String = ROUTE_PREFIX + name
@@ -23,6 +27,12 @@
     route: String,
 ): String = "$CALLER_PREFIX$organisation/$route"
 
+/** Returns the entry that stands for the content of a request without a prompt. */
+public fun contentPart(hash: String): String = CONTENT_PREFIX + hash
+
+/** Returns whether [part] stands for the content of a request without a prompt. */
+public fun isContent(part: String): Boolean = part.startsWith(CONTENT_PREFIX)
+
 /** Returns whether [part] tells where a request comes from and isn't a part of its prompt. */
 public fun isOrigin(part: String): Boolean = part.startsWith(ROUTE_PREFIX) || part.startsWith(CALLER_PREFIX)
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -10,6 +10,7 @@
 import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.fleet.RouteMatch
 import io.carawaytrack.fleet.callerPart
+import io.carawaytrack.fleet.contentPart
 import io.carawaytrack.fleet.routePart
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -68,17 +69,17 @@
     /** Route and caller, then the prompt's parts; a request without a prompt counts as one part, its content. */
     val prompt: PromptParts by lazy(LazyThreadSafetyMode.NONE) {
         listOfNotNull(routePart(route.name), organisation?.let { callerPart(it.name.value, route.name) }) +
-            demand.parts.map { it.id }.ifEmpty { listOf(contentId()) }
+            demand.parts.map { it.id }.ifEmpty { listOf(content()) }
     }
 
     /** Whether the gateway selects the model. */
     val gatewayChoosesModel: Boolean get() = route.models.isNotEmpty()
 
-    private fun contentId(): String {
+    private fun content(): String {
         val hash = Hashing.komihash5_0().hashStream()
         hash.putString("${organisation?.name?.value} ${head.method()} ${head.uri()}")
         body.forEachByte { hash.putByte(it).let { true } }
-        return "content ${hash.asLong.toULong().toString(radix = 36)}"
+        return contentPart(hash.asLong.toULong().toString(radix = 36))
     }
 
     /** Returns the identifier of the last event that the caller has received, if it resumes a stream. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
@@ -2,12 +2,15 @@
  * Inference of what makes upstreams crash from the requests that were in progress at each crash. Parts of prompts that
  * come back in enough crashes are found first. If crashes remain on a route that they don't explain, each of its
  * requests may be harmful by itself; then one crash is enough to suspect a request. A caller whose requests were in
- * progress at a series of such crashes may send more of them, each with another content.
+ * progress at a series of such crashes may send more of them, each with another content. This is inferred only for
+ * requests without a prompt: those with one have parts to be found, and an engine has many of them in progress.
  *
  * The number of crashes is meant to be some tens, with some tens of requests each.
  */
 package io.carawaytrack.gateway
 
+import io.carawaytrack.fleet.isContent
+
 /** Number of crashes at different times that are taken for a series with a common cause. */
 internal const val CRASHES_IN_SERIES = 3
 
@@ -60,8 +63,9 @@
 internal fun findCrashCauses(suspects: List<CrashSuspect>): CrashCauses {
     val explained = HashSet<Any>()
     val recurring = findRecurringParts(suspects, explained)
-    val callers = findCallers(suspects, recurring, explained)
-    return CrashCauses(recurring + findSingleRequests(suspects, recurring, explained), callers)
+    val withoutPrompt = suspects.filter { it.parts.all(::isContent) }
+    val callers = findCallers(withoutPrompt, recurring, explained)
+    return CrashCauses(recurring + findSingleRequests(withoutPrompt, recurring, explained), callers)
 }
 
 /** Returns the parts that come back in the crashes of a series, those that explain most crashes first. */
