Show the limits that upstreams state in log and metrics

The adapter names the header, the gateway keeps the limit for each upstream and logs its begin and end; caraway_host_limited_upstreams counts the upstreams with one. A value that is no finite, non-negative number states no limit. No decision changes.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -11,6 +11,7 @@
 import io.carawaytrack.model.Execution
 import io.carawaytrack.model.Failure
 import io.carawaytrack.model.notRun
+import io.netty.handler.codec.http.HttpResponse
 
 /** Retry-After when all upstreams are full: some of their requests have ended by then. */
 private const val POOL_EXHAUSTED_RETRY_AFTER_MILLIS = 400L
@@ -163,10 +164,16 @@
         rollouts.recordOutcome(rollout, exchange.request.route.name, upstream.version, good, tookMillis)
     }
 
-    override fun recordLoad(
+    override fun recordStatements(
         upstream: UpstreamState,
-        reported: ReportedLoad,
-    ) = upstreams.recordLoad(upstream, reported)
+        response: HttpResponse,
+    ) {
+        // The response of another upstream at the same address says nothing about this one.
+        if (response.refusal(headerNames) == UpstreamRefusal.AnotherUpstream) return
+        val headers = response.headers()
+        upstreams.recordLimit(upstream, statedLimit(headers[headerNames.limit]))
+        reportedLoad(headers[headerNames.load])?.let { upstreams.recordLoad(upstream, it) }
+    }
 
     override fun attemptAbandoned(exchange: Exchange) {
         openAttempt(exchange)?.let(rollouts::recordAbandoned)
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -153,12 +153,11 @@
     override fun onHead(response: HttpResponse) {
         val upstream = target ?: return
         upstream.bytesReceived()
-        val headers = response.headers()
-        reportedLoad(headers[context.headerNames.load])?.let { context.recordLoad(upstream, it) }
+        context.recordStatements(upstream, response)
         this.response = response
         firstByteMillis = firstByteMillis ?: (context.nowMillis() - request.arrivedAtMillis)
         if (!response.isSuccess()) return
-        val confidence = headers[context.headerNames.confidence]?.toIntOrNull()
+        val confidence = response.headers()[context.headerNames.confidence]?.toIntOrNull()
         context.responseStarted(this, confidence)
         if (relay.isStream(response) && !relay.started) context.escalationModel(this, confidence)?.let(::escalateTo)
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
@@ -7,6 +7,7 @@
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Execution
+import io.netty.handler.codec.http.HttpResponse
 
 /** Phases of an exchange: waiting for an upstream, sent to an upstream, and ended. */
 internal enum class ExchangePhase { Waiting, Sent, Ended }
@@ -68,10 +69,10 @@
         tookMillis: Long,
     )
 
-    /** Records the load that an upstream reported with a response. */
-    fun recordLoad(
+    /** Records the load and the limit that [upstream] states in the head of [response]. */
+    fun recordStatements(
         upstream: UpstreamState,
-        reported: ReportedLoad,
+        response: HttpResponse,
     )
 
     /** Handles that the exchange abandons its current attempt before a response is complete. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -103,6 +103,9 @@
     /** Number of [unfinished] requests that wait for an upstream with free capacity. */
     public val waiting: Int
 
+    /** Number of upstreams that state a limit on their rate of requests, by pool. */
+    public val limitedUpstreams: Map<PoolName, Int>
+
     /** Puts [catalog] in force for requests that arrive from now on. */
     public fun apply(catalog: Catalog)
 
@@ -195,6 +198,8 @@
 
     override val waiting: Int get() = dispatcher.waiting
 
+    override val limitedUpstreams: Map<PoolName, Int> get() = upstreams.limited()
+
     fun start() {
         serverChannel = callers.listen(settings.callers)
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/HeaderNames.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/HeaderNames.kt
@@ -20,6 +20,7 @@
  * @property signature an upstream's signature over its response
  * @property notExecuted present on a response when the upstream has not executed the request
  * @property load numbers of running requests, waiting requests and slots of an upstream
+ * @property limit requests per second that an upstream in need accepts from all hosts together
  * @property coldMillis time for which an upstream remains cold, in milliseconds
  * @property confidence an engine's confidence in its output, 0 to 100
  * @property reserved headers that only the gateway may set on a request, in lower case; values sent by callers are
@@ -39,6 +40,7 @@
     val signature: String,
     val notExecuted: String,
     val load: String,
+    val limit: String,
     val coldMillis: String,
     val confidence: String,
     val reserved: Set<String>,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
@@ -114,6 +114,23 @@
         ownReports[upstream.upstream.id] = TimedReport(reported, nowMillis())
     }
 
+    /** Records the limit that [upstream] stated to this host, or null for none. */
+    fun recordLimit(
+        upstream: UpstreamState,
+        perSecond: Double?,
+        ageMillis: Long = 0,
+    ) {
+        if (!upstream.applyLimit(perSecond, ageMillis)) return
+        val event = if (upstream.limitPerSecond == null) "upstream_limit_ended" else "upstream_limited"
+        logEvent(event, mapOf("upstream" to upstream.upstream.id.value, "perSecond" to upstream.limitPerSecond))
+    }
+
+    /** Returns the number of upstreams that state a limit, by pool. */
+    fun limited(): Map<PoolName, Int> = states.values
+        .filter { it.limitPerSecond != null }
+        .groupingBy { it.upstream.pool }
+        .eachCount()
+
     /** Applies a load report that another host received. */
     fun applyLoad(load: UpstreamLoad) {
         states[load.id]?.applyLoadReport(ReportedLoad(load.running, load.waiting), load.ageMillis)
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
@@ -84,10 +84,14 @@
     private var fullUntilMillis = 0L
     private var load: ReportedLoad? = null
     private var loadReportedAtMillis = Long.MIN_VALUE
+    private val limit = StatedLimit(nowMillis)
     private val loadChanges = ArrayDeque<LoadChange>()
     private var coldStartTokens = 0.0
     private var coldStartTokensAtMillis: Long? = null
 
+    /** Requests per second that the upstream accepts from all hosts together; null while it states no limit. */
+    val limitPerSecond: Double? get() = limit.perSecond
+
     val isCold: Boolean get() = nowMillis() < maxOf(announcedColdUntilMillis, assumedColdUntilMillis)
     val isPaused: Boolean get() = nowMillis() < pausedUntilMillis
     val isFull: Boolean get() = nowMillis() < fullUntilMillis
@@ -175,6 +179,15 @@
         loadReportedAtMillis = reportedAtMillis
     }
 
+    /**
+     * Applies an answer that reached this or another host [ageMillis] ago and states the limit [perSecond], or null for
+     * none. Returns whether the limit has begun or ended.
+     */
+    fun applyLimit(
+        perSecond: Double?,
+        ageMillis: Long = 0,
+    ): Boolean = limit.apply(perSecond, ageMillis)
+
     fun recordSuccess() {
         failures = 0
         pauseMillis = MIN_PAUSE_MILLIS
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -42,6 +42,7 @@
         signature = "x-seal",
         notExecuted = "x-not-executed",
         load = "x-load",
+        limit = "x-limit",
         coldMillis = "x-cold",
         confidence = "x-confidence",
         reserved = setOf("x-expect", "x-organisation", "x-urgency"),
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
@@ -25,6 +25,7 @@
     val configurationVersion: Long,
     val viewIndex: Long,
     val upstreams: Map<PoolName, Int>,
+    val limitedUpstreams: Map<PoolName, Int>,
     val lastContactAgeMillis: Map<PoolName, Long>,
     val peers: Int,
     val leading: Boolean,
@@ -81,6 +82,9 @@
         MetricCatalog.hostUpstreams.callbackGauge(registry) {
             status().upstreams.forEach { (pool, count) -> call(count.toDouble(), pool.value) }
         }
+        MetricCatalog.hostLimitedUpstreams.callbackGauge(registry) {
+            status().limitedUpstreams.forEach { (pool, count) -> call(count.toDouble(), pool.value) }
+        }
         MetricCatalog.hostLastContactAge.callbackGauge(registry) {
             status().lastContactAgeMillis.forEach { (pool, millis) -> call(millisToSeconds(millis), pool.value) }
         }
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
@@ -244,6 +244,8 @@
     internal val hostViewIndex =
         gauge("caraway_host_view_index", "Log index of the latest agreed state known to a host.")
     internal val hostUpstreams = gauge("caraway_host_upstreams", "Upstreams known to a host, by pool.", "pool")
+    internal val hostLimitedUpstreams =
+        gauge("caraway_host_limited_upstreams", "Upstreams that state a limit on their requests, by pool.", "pool")
     internal val hostLastContactAge =
         gauge(
             "caraway_host_upstream_silence_seconds",
@@ -333,6 +335,7 @@
                     hostConfiguration,
                     hostViewIndex,
                     hostUpstreams,
+                    hostLimitedUpstreams,
                     hostLastContactAge,
                     hostPeers,
                     hostLeading,
