Share the limit that an upstream states among all hosts

Cause: nothing read the statement.

Change: each host starts four fifths of the limit, divided by the number of hosts, on such an upstream. First attempts, further ones and resumed streams go the same way. The bucket of cold upstreams becomes RateShare and serves both; after a pause it starts at a random level, for limits with what one second brings on top, so that a host with rare requests gets its part of a high limit. A request that one upstream's rate does not allow is placed on another one; if none takes it, it waits and is refused as before, 503 and not run. Hosts that are no longer heard count for ten seconds more: two halves of a cut fleet would each take all of the limit, and of a cold upstream's rate.

UpstreamStateTest plays 1 to 341 hosts with all bursts at once.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -234,9 +234,7 @@
 
     override fun crashReport(): CrashReport = dispatcher.quarantine.report()
 
-    override fun setHostCount(hosts: Int) {
-        upstreams.hosts = maxOf(1, hosts)
-    }
+    override fun setHostCount(hosts: Int) = upstreams.updateHosts(hosts)
 
     override fun tallies(): List<RolloutTally> = dispatcher.tallies()
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
@@ -18,6 +18,12 @@
 /** Part of a pool's cold request rate that all hosts use together; the margin absorbs their uneven timing. */
 private const val COLD_RATE_RATIO = 0.8
 
+/** Number of rate-limited upstreams that are tried for a request before only those without a limit are considered. */
+private const val MAX_RATE_LIMITED_CHOICES = 3
+
+/** Time for which hosts that are no longer heard still count: longer than most partitions last. */
+private const val HOST_COUNT_MEMORY_MILLIS = 10_000L
+
 /** Queued requests that a service may have before it counts as full, relative to its slots. */
 private const val SERVICE_QUEUE_RATIO = 0.5
 
@@ -55,8 +61,16 @@
     private val ownReports = LinkedHashMap<UpstreamId, TimedReport>()
     private var view = FleetView()
 
-    /** Number of hosts that share an upstream's limits. */
-    var hosts = 1
+    private val hostCounts = RecentMaximum(HOST_COUNT_MEMORY_MILLIS, nowMillis)
+
+    /**
+     * Number of hosts that share an upstream's limits. Hosts that are no longer heard still count for a while: they may
+     * be cut off from this one only and send on.
+     */
+    val hosts: Int get() = maxOf(1, hostCounts.value)
+
+    /** Records that this host knows [count] hosts that share the limits, including itself. */
+    fun updateHosts(count: Int) = hostCounts.record(count)
 
     /** Applies roll-outs and evacuated zones; [coldStartMillis] returns the duration of a pool's cold start. */
     fun apply(
@@ -174,17 +188,32 @@
                     !it.isSuspectedUnhealthy
                 }.ifEmpty { preferred }
                 .ifEmpty { if (criteria.allowExcluded) available else preferred }
-        val chosen = cheapest(usable, criteria) ?: return null
-        if (!chosen.isCold || tryColdStart(chosen, criteria.pool)) return recordRead(chosen, criteria)
-        return cheapest(usable.filter { !it.isCold }, criteria)?.let { recordRead(it, criteria) }
+        return (chooseWithinRate(usable, criteria) ?: cheapest(usable.filter { !it.isRateLimited }, criteria))
+            ?.let { recordRead(it, criteria) }
+    }
+
+    /** Returns the cheapest of the [usable] upstreams whose rate allows a request, or null after a few were tried. */
+    private fun chooseWithinRate(
+        usable: List<UpstreamState>,
+        criteria: SelectionCriteria,
+    ): UpstreamState? {
+        var remaining = usable
+        repeat(MAX_RATE_LIMITED_CHOICES) {
+            val chosen = cheapest(remaining, criteria) ?: return null
+            if (isWithinRate(chosen, criteria.pool)) return chosen
+            remaining = remaining - chosen
+        }
+        return null
     }
 
-    private fun tryColdStart(
+    private fun isWithinRate(
         state: UpstreamState,
         pool: CatalogPool,
     ): Boolean {
-        if (pool.coldRequestsPerSecond <= 0) return true
-        return state.tryColdStart(pool.coldRequestsPerSecond * COLD_RATE_RATIO / hosts)
+        val coldRate = pool.coldRequestsPerSecond
+        val cold = state.isCold && coldRate > 0
+        if (cold && !state.tryColdStart(coldRate * COLD_RATE_RATIO / hosts)) return false
+        return state.tryLimited(hosts)
     }
 
     private fun recordRead(
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
@@ -33,6 +33,12 @@
 /** Weight of the newest response in the moving failure ratio, which covers about the last ten responses. */
 private const val FAILURE_WEIGHT = 0.12
 
+/** Part of a stated limit that all hosts use together; the margin absorbs their uneven timing. */
+private const val LIMIT_RATIO = 0.8
+
+/** Requests that all hosts together may start at once within a stated limit, as the time in which it allows as many. */
+private const val LIMIT_BURST_MILLIS = 1_000L
+
 /** Load that an upstream reported with a response. */
 internal data class ReportedLoad(
     val running: Int,
@@ -86,8 +92,8 @@
     private var loadReportedAtMillis = Long.MIN_VALUE
     private val limit = StatedLimit(nowMillis)
     private val loadChanges = ArrayDeque<LoadChange>()
-    private var coldStartTokens = 0.0
-    private var coldStartTokensAtMillis: Long? = null
+    private val coldStarts = RateShare(nowMillis, random)
+    private val limitShare = RateShare(nowMillis, random, LIMIT_BURST_MILLIS)
 
     /** Requests per second that the upstream accepts from all hosts together; null while it states no limit. */
     val limitPerSecond: Double? get() = limit.perSecond
@@ -128,20 +134,14 @@
         assumedColdUntilMillis = maxOf(assumedColdUntilMillis, nowMillis() + durationMillis)
     }
 
-    /**
-     * Takes a token for a request to a cold upstream from this host's bucket, which is refilled at a rate of
-     * [perSecond]; returns false while it holds less than one. A bucket that has not been used for long starts at a
-     * random level: if it were full on every host, all hosts together would exceed the upstream's rate at once.
-     */
-    fun tryColdStart(perSecond: Double): Boolean {
-        val now = nowMillis()
-        val added = coldStartTokensAtMillis?.let { (now - it) * perSecond / MILLIS_PER_SECOND }
-        coldStartTokens = if (added == null || added >= 1.0) random() else minOf(1.0, coldStartTokens + added)
-        coldStartTokensAtMillis = now
-        if (coldStartTokens < 1.0) return false
-        coldStartTokens -= 1.0
-        return true
-    }
+    /** Whether the number of requests that this host may start on the upstream is limited at the moment. */
+    val isRateLimited: Boolean get() = isCold || limitPerSecond != null
+
+    /** Takes one of the [perSecond] requests that this host may start while the upstream is cold, or returns false. */
+    fun tryColdStart(perSecond: Double): Boolean = coldStarts.tryTake(perSecond)
+
+    /** Takes one of the requests that this host, one of [hosts], may start within the limit, or returns false. */
+    fun tryLimited(hosts: Int): Boolean = limitPerSecond?.let { limitShare.tryTake(it * LIMIT_RATIO / hosts) } ?: true
 
     fun requestStarted() {
         if (inFlight == 0) unansweredSinceMillis = nowMillis()
@@ -209,8 +209,4 @@
     fun markFull() {
         fullUntilMillis = nowMillis() + FULL_PAUSE_MILLIS
     }
-
-    private companion object {
-        const val MILLIS_PER_SECOND = 1_000.0
-    }
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/UpstreamStateTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/UpstreamStateTest.kt
@@ -120,6 +120,48 @@
         }
     }
 
+    private class LimitCase(
+        val hosts: Int,
+        val limitPerSecond: Double,
+        val idleMillis: Long,
+    )
+
+    @TestFactory
+    fun `all hosts together keep to the limit that an upstream states, in every four seconds`(): List<DynamicTest> =
+        listOf(
+            LimitCase(hosts = 1, limitPerSecond = 2.0, idleMillis = 0),
+            LimitCase(hosts = 8, limitPerSecond = 1.9, idleMillis = 0),
+            LimitCase(hosts = 8, limitPerSecond = 1.9, idleMillis = 60_000),
+            LimitCase(hosts = 30, limitPerSecond = 2.0, idleMillis = 60_000),
+            LimitCase(hosts = 30, limitPerSecond = 200.0, idleMillis = 60_000),
+            LimitCase(hosts = 341, limitPerSecond = 5.0, idleMillis = 60_000),
+        ).map { case ->
+            dynamicTest("${case.hosts} hosts, ${case.limitPerSecond} a second, idle for ${case.idleMillis} ms") {
+                val random = Random(case.hosts)
+                val states = List(case.hosts) { UpstreamState(known(nowMillis), { nowMillis }, random::nextDouble) }
+                states.forEach { it.applyLimit(case.limitPerSecond) }
+                nowMillis += case.idleMillis
+                val sentAtMillis = ArrayList<Long>()
+                repeat(600) {
+                    nowMillis += 20
+                    states.filter { it.tryLimited(case.hosts) }.forEach { sentAtMillis += nowMillis }
+                }
+                val most = sentAtMillis.maxOf { from -> sentAtMillis.count { it in from..<from + 4_000 } }
+                val named = (case.limitPerSecond * 4).toInt()
+                expectThat(most).isIn(named / 2..named * 3 / 2 + 5)
+            }
+        }
+
+    @Test
+    fun `a host with rare requests gets its share of a high limit`() {
+        val state = UpstreamState(known(nowMillis), { nowMillis }, random = { 0.0 })
+        state.applyLimit(100.0)
+        repeat(10) {
+            nowMillis += 500
+            expectThat(state.tryLimited(hosts = 8)).isTrue()
+        }
+    }
+
     @Test
     fun `own requests since a load report are added to it`() {
         val state = UpstreamState(known(nowMillis), { nowMillis })
