Tell the other hosts of the limit that an upstream states

Callers saw nothing of it; an upstream in need got unlimited requests from every host that it had not answered yet.

Change: load reports between hosts carry the limit and the start of the upstream, so a statement of an earlier start under the same identifier says nothing. Reports of older builds, which lack both, neither set nor end a limit.

Evidence: three new cases of LimitedUpstreamTest, for which the code before has no field.

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/UpstreamLoad.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/UpstreamLoad.kt
@@ -1,5 +1,5 @@
 /*
- * Load of an upstream as one of its responses reported it to a host.
+ * Load of an upstream, and the limit that it states, as one of its responses reported them to a host.
  */
 package io.carawaytrack.fleet
 
@@ -12,6 +12,8 @@
  * @property running number of requests that it processed
  * @property waiting number of requests in its queue
  * @property ageMillis time since the report arrived at the host that received it
+ * @property limitPerSecond requests that the upstream accepts from all hosts together; null if it states no limit
+ * @property startedAtMillis start of the upstream; null in reports of older builds, which say nothing about a limit
  */
 @Serializable
 public data class UpstreamLoad(
@@ -19,4 +21,6 @@
     val running: Int,
     val waiting: Int,
     val ageMillis: Long,
+    val limitPerSecond: Double? = null,
+    val startedAtMillis: Long? = null,
 )
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -171,8 +171,11 @@
         // The response of another upstream at the same address says nothing about this one.
         if (response.refusal(headerNames) == UpstreamRefusal.AnotherUpstream) return
         val headers = response.headers()
-        upstreams.recordLimit(upstream, statedLimit(headers[headerNames.limit]))
-        reportedLoad(headers[headerNames.load])?.let { upstreams.recordLoad(upstream, it) }
+        upstreams.recordStatements(
+            upstream,
+            load = reportedLoad(headers[headerNames.load]),
+            limitPerSecond = statedLimit(headers[headerNames.limit]),
+        )
     }
 
     override fun attemptAbandoned(exchange: Exchange) {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
@@ -53,6 +53,8 @@
 ) {
     private class TimedReport(
         val report: ReportedLoad,
+        val limitPerSecond: Double?,
+        val startedAtMillis: Long,
         val atMillis: Long,
     )
 
@@ -119,20 +121,23 @@
         connections.closeIdle(state.upstream.address)
     }
 
-    /** Records the load that [upstream] reported to this host, and keeps it for the other hosts. */
-    fun recordLoad(
+    /** Records what [upstream] stated to this host about its load and its limit, and keeps it for the other hosts. */
+    fun recordStatements(
         upstream: UpstreamState,
-        reported: ReportedLoad,
+        load: ReportedLoad?,
+        limitPerSecond: Double?,
     ) {
-        upstream.applyLoadReport(reported)
-        ownReports[upstream.upstream.id] = TimedReport(reported, nowMillis())
+        applyLimit(upstream, limitPerSecond, ageMillis = 0)
+        if (load == null) return
+        upstream.applyLoadReport(load)
+        val known = upstream.upstream
+        ownReports[known.id] = TimedReport(load, limitPerSecond, known.startedAtMillis, nowMillis())
     }
 
-    /** Records the limit that [upstream] stated to this host, or null for none. */
-    fun recordLimit(
+    private fun applyLimit(
         upstream: UpstreamState,
         perSecond: Double?,
-        ageMillis: Long = 0,
+        ageMillis: Long,
     ) {
         if (!upstream.applyLimit(perSecond, ageMillis)) return
         val event = if (upstream.limitPerSecond == null) "upstream_limit_ended" else "upstream_limited"
@@ -145,16 +150,27 @@
         .groupingBy { it.upstream.pool }
         .eachCount()
 
-    /** Applies a load report that another host received. */
+    /** Applies a report that another host received; one of an earlier start of the upstream says nothing about it. */
     fun applyLoad(load: UpstreamLoad) {
-        states[load.id]?.applyLoadReport(ReportedLoad(load.running, load.waiting), load.ageMillis)
+        val state = states[load.id] ?: return
+        val startedAtMillis = load.startedAtMillis
+        if (startedAtMillis != null && startedAtMillis != state.upstream.startedAtMillis) return
+        state.applyLoadReport(ReportedLoad(load.running, load.waiting), load.ageMillis)
+        if (startedAtMillis != null) applyLimit(state, load.limitPerSecond, load.ageMillis)
     }
 
-    /** Returns the newest load report of each upstream since the last call. */
+    /** Returns the newest report of each upstream since the last call. */
     fun takeLoads(): List<UpstreamLoad> {
         val taken =
             ownReports.map { (id, timed) ->
-                UpstreamLoad(id, timed.report.running, timed.report.waiting, nowMillis() - timed.atMillis)
+                UpstreamLoad(
+                    id = id,
+                    running = timed.report.running,
+                    waiting = timed.report.waiting,
+                    ageMillis = nowMillis() - timed.atMillis,
+                    limitPerSecond = timed.limitPerSecond,
+                    startedAtMillis = timed.startedAtMillis,
+                )
             }
         ownReports.clear()
         return taken
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/LimitedUpstreamTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/LimitedUpstreamTest.kt
@@ -3,6 +3,8 @@
  */
 package io.carawaytrack.gateway
 
+import io.carawaytrack.fleet.UpstreamLoad
+import io.carawaytrack.model.UpstreamId
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
@@ -73,4 +75,33 @@
         while (lookup()?.start != "HTTP/1.1 200 OK") advance(STEP_MILLIS)
         repeat(30) { expectThat(lookup()?.start).isEqualTo("HTTP/1.1 200 OK") }
     }
+
+    @Test
+    fun `a host that another one has told of a limit keeps to it before it has an answer of its own`() {
+        serve({ _, out, _ -> true.also { out.send(limited) } }, { _, out, _ -> true.also { out.send(unlimited) } })
+        onLoop { gateway.applyLoad(reportOf(startedAtMillis = 1)) }
+        repeat(30) { expectThat(lookup()?.start).isEqualTo("HTTP/1.1 200 OK") }
+        expectThat(upstreams[0].requests.size).isLessThan(MOST_IN_WINDOW)
+    }
+
+    @Test
+    fun `a limit of an earlier start of an upstream says nothing about the present one`() {
+        serve({ _, out, _ -> true.also { out.send(unlimited) } }, { _, out, _ -> true.also { out.send(unlimited) } })
+        onLoop { gateway.applyLoad(reportOf(startedAtMillis = 0)) }
+        repeat(30) { lookup() }
+        expectThat(upstreams[0].requests.size).isEqualTo(30)
+    }
+
+    @Test
+    fun `a limit is reported to the other hosts with the load`() {
+        serve({ _, out, _ -> true.also { out.send(fullResponse("200 OK", "", "x-limit: 2.5\nx-load: 3,1,8\n")) } })
+        lookup()
+        var reported = emptyList<UpstreamLoad>()
+        onLoop { reported = gateway.takeLoads() }
+        val expected = UpstreamLoad(UpstreamId("stock-0"), 3, 1, ageMillis = 0, 2.5, startedAtMillis = 1)
+        expectThat(reported.map { it.copy(ageMillis = 0) }).isEqualTo(listOf(expected))
+    }
+
+    private fun reportOf(startedAtMillis: Long) =
+        UpstreamLoad(UpstreamId("stock-0"), 0, 0, ageMillis = 0, limitPerSecond = 2.0, startedAtMillis)
 }
