Take a repeated refusal for no response to another attempt

Operators of a similar system reported: a replica wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran, or these ran twice. It can happen here in two ways, each with a test that failed before:

- A request that was refused as full goes to the same upstream again, on the connection that carried its first attempt.
Both attempts have the same identifier, so the repeated refusal was taken for the response to the second one, which ran: the request ran twice.
Now an attempt doesn't use a connection on which an earlier attempt of its request had no success.
- A refusal without an identifier on a kept connection was taken for the response to the present request: 503 for a request that ran.
Now it breaks the attempt, and the caller gets 502.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Attempt.kt
@@ -41,9 +41,11 @@
 /** An attempt in progress; [cancel] closes its connection, which causes the upstream to cancel the request. */
 internal class Attempt(
     val request: FullHttpRequest,
-    val attemptIdHeader: String,
+    val headerNames: HeaderNames,
     val listener: AttemptListener,
 ) {
+    /** Identifier of the request, which all of its attempts have in common. */
+    val requestId: String = request.headers()[headerNames.attemptId].orEmpty()
     private var connection: Channel? = null
     var ended = false
         private set
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -100,7 +100,7 @@
                 model,
                 relay.lastEventId,
             )
-        val next = Attempt(sent, context.headerNames.attemptId, this)
+        val next = Attempt(sent, context.headerNames, this)
         phase = ExchangePhase.Sent
         target = upstream
         attempt = next
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -47,6 +47,9 @@
 /** Maximum body size of a response to another request that is skipped on the way to the awaited one. */
 private const val MAX_SKIPPED_BYTES = 64 * 1024
 
+/** Number of requests without a success that a connection remembers; a repeated response follows within a few. */
+private const val MAX_UNSUCCESSFUL_REQUESTS = 16
+
 private const val MAX_LINE_BYTES = 8_192
 private const val MAX_HEADER_BYTES = 65_536
 private const val MAX_CHUNK_BYTES = 65_536
@@ -74,7 +77,8 @@
         attempt: Attempt,
         nonRetryable: Boolean,
     ) {
-        val pooled = takeIdle(address, if (nonRetryable) NON_RETRYABLE_MAX_IDLE_MILLIS else Long.MAX_VALUE)
+        val maxIdleMillis = if (nonRetryable) NON_RETRYABLE_MAX_IDLE_MILLIS else Long.MAX_VALUE
+        val pooled = takeIdle(address, attempt, maxIdleMillis)
         if (pooled != null) pooled.start(attempt) else connect(address, attempt)
     }
 
@@ -114,17 +118,21 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(handler)
 
+    /**
+     * Returns the connection to [address] that was used last, unless it has already carried an attempt of the same
+     * request: a response to that one might be repeated and would be taken for the response to this [attempt].
+     */
     private fun takeIdle(
         address: HostPort,
+        attempt: Attempt,
         maxIdleMillis: Long,
     ): UpstreamConnection? {
         val connections = idle[address] ?: return null
-        while (true) {
-            val newest = connections.removeLastOrNull() ?: return null
-            val now = nowMillis()
-            if (newest.isUsable(now) && now - newest.idleSinceMillis <= maxIdleMillis) return newest
-            newest.channel.close()
-        }
+        val now = nowMillis()
+        val (usable, expired) = connections.partition { it.isUsable(now) && now - it.idleSinceMillis <= maxIdleMillis }
+        connections.removeAll(expired)
+        expired.forEach { it.channel.close() }
+        return usable.lastOrNull { !it.hasFailedFor(attempt) }?.also { connections.remove(it) }
     }
 
     private fun connect(
@@ -182,9 +190,18 @@
         private var written = false
         private var interimResponses = 0
         private var skippedBytes = 0
+        private val unsuccessfulRequests = ArrayDeque<String>()
 
         fun isUsable(now: Long) = channel.isActive && now - idleSinceMillis < keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS
 
+        /** Returns whether a response on this connection was no success of an earlier attempt of the same request. */
+        fun hasFailedFor(next: Attempt): Boolean = next.requestId in unsuccessfulRequests
+
+        private fun recordUnsuccessful(current: Attempt) {
+            unsuccessfulRequests.addLast(current.requestId)
+            if (unsuccessfulRequests.size > MAX_UNSUCCESSFUL_REQUESTS) unsuccessfulRequests.removeFirst()
+        }
+
         fun start(next: Attempt) {
             if (next.ended) {
                 next.request.release()
@@ -239,19 +256,21 @@
             current: Attempt,
             head: HttpResponse,
         ) {
-            val responseAttemptId = head.headers()[current.attemptIdHeader]
+            val responseAttemptId = head.headers()[current.headerNames.attemptId]
             val informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
             ignoringResponse =
                 informational ||
                 (
-                    responseAttemptId != null &&
-                        responseAttemptId != current.request.headers()[current.attemptIdHeader]
+                    responseAttemptId != null && responseAttemptId != current.requestId
                 )
             if (ignoringResponse) {
                 if (!informational) reusable = false
                 if (informational && ++interimResponses > MAX_INTERIM_RESPONSES) closeAsBroken()
                 return
             }
+            // It may be a refusal of an earlier request once more: only its identifier would show which one it refuses.
+            if (responseAttemptId == null && reused && head.refusal(current.headerNames) != null) return closeAsBroken()
+            if (!head.isSuccess()) recordUnsuccessful(current)
             response = head
             reusable = reusable && HttpUtil.isKeepAlive(head) && isFramed(head)
             head.headers()[KEEP_ALIVE]?.let { keepAliveMillis = keepAliveMillis(it) }
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
@@ -0,0 +1,109 @@
+/*
+ * Upstreams that repeat an earlier refusal, close in the middle of a head, or answer the rest of a stream with an
+ * error: what callers get, and how often a request runs.
+ */
+package io.carawaytrack.gateway
+
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import java.io.OutputStream
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Time after which an upstream that broke attempts is used again. */
+private const val PAUSE_OVER_MILLIS = 5_000L
+
+private const val STREAM_BEGIN = "id: 1\ndata: 1\n\n"
+
+internal class FaultyResponseTest : GatewayFixture() {
+    private val runs = AtomicInteger()
+    private val refusal = fullResponse("503 Service Unavailable", "", "x-not-executed: 1\n")
+    private val answer = fullResponse("200 OK", "done")
+
+    /** Refuses the first request, and writes the refusal once more before the answer to a later one beside it. */
+    private fun refuseOnceThenRepeat(): (RawMessage, OutputStream, Socket) -> Boolean {
+        var refusedOn: Socket? = null
+        return { _, out, socket ->
+            when {
+                refusedOn == null -> out.send(refusal).also { refusedOn = socket }
+                refusedOn === socket -> out.send(refusal + answer).also { runs.incrementAndGet() }
+                else -> out.send(answer).also { runs.incrementAndGet() }
+            }
+            true
+        }
+    }
+
+    @Test
+    fun `a refusal that is repeated on a kept connection is not the response to the request's next attempt`() {
+        serve(refuseOnceThenRepeat())
+        expectThat(exchange(request("/pay/x"))?.body).isEqualTo("done")
+        expectThat(runs.get()).isEqualTo(1)
+    }
+
+    @Test
+    fun `a refusal without an identifier on a kept connection does not state that the request has not run`() {
+        val anonymous = refusal.replace("x-attempt: id1\n", "")
+        serve({ request, out, _ ->
+            val first = request.body == "first"
+            out.send(if (first) answer else anonymous + answer)
+            if (!first) runs.incrementAndGet()
+            true
+        })
+        expectThat(exchange(request("/pay/x", body = "first"))?.body).isEqualTo("done")
+        expectThat(exchange(request("/pay/x", body = "second"))?.start?.substring(9, 12)).isEqualTo("502")
+        expectThat(runs.get()).isEqualTo(1)
+    }
+
+    private class HeadCase(
+        val name: String,
+        val path: String,
+        val head: String,
+    )
+
+    @TestFactory
+    fun `a response whose head is cut off is not a success`(): List<DynamicTest> = listOf(
+        HeadCase("a call", "/pay/x", answer.substringBefore("done")),
+        HeadCase("a call without a length", "/pay/x", "HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\n\n"),
+        HeadCase("a stream", "/oneoff/x", STREAM_HEAD),
+    ).map { case ->
+        dynamicTest(case.name) {
+            var length = 0
+            serve({ _, out, _ -> false.also { out.send(case.head.take(length)) } })
+            while (length < case.head.length - 1) {
+                advance(PAUSE_OVER_MILLIS)
+                expectThat(exchange(request(case.path))?.start?.substring(9, 12)).isNotEqualTo("200")
+                length++
+            }
+            expectThat(upstreams.last().requests.size).isEqualTo(case.head.length - 1)
+        }
+    }
+
+    enum class ResumeError(
+        val response: String,
+    ) {
+        WithLength("HTTP/1.1 500 Internal Server Error\nx-attempt: id1\nContent-Length: 5\n\nsorry"),
+        InChunks("HTTP/1.1 500 Internal Server Error\nx-attempt: id1\nTransfer-Encoding: chunked\n\n5\nsorry\n0\n\n"),
+        WithoutLength("HTTP/1.1 500 Internal Server Error\nx-attempt: id1\n\nsorry"),
+        LooksLikeEvent("HTTP/1.1 404 Not Found\nx-attempt: id1\nContent-Length: 15\n\nid: 2\ndata: 2\n\n"),
+        MayHaveRun("HTTP/1.1 503 Service Unavailable\nx-attempt: id1\nContent-Length: 5\n\nsorry"),
+        NotRun("HTTP/1.1 503 Service Unavailable\nx-attempt: id1\nx-not-executed: 1\nContent-Length: 0\n\n"),
+        NoResponse("sorry\n\n"),
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `an error of the upstream that is to resume a stream does not reach the caller`(error: ResumeError) {
+        serve(
+            { _, out, _ -> false.also { out.send(STREAM_HEAD).also { _ -> out.raw(event(1)) } } },
+            { _, out, _ -> false.also { out.send(error.response) } },
+        )
+        expectThat(exchange(request("/draft/x", deadlineMillis = 600))?.body).isEqualTo(STREAM_BEGIN + "(broken off)")
+    }
+}
