--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isIn
 import strikt.assertions.isLessThanOrEqualTo
@@ -287,17 +288,42 @@
             }
         }
 
+    /** Simulates the roll-out of incident 0007's second report: 3.2 s of evidence, three routes with long streams. */
+    @Test
+    fun `a version with some slow answers is not completed on the evidence of a few seconds`() {
+        val short = rollout.copy(durationMillis = 10_000)
+        val usualMillis = mapOf("draft" to 2_800L, "note" to 2_100L, "check" to 240L)
+        val completed =
+            (1L..20L).filter { seed ->
+                val random = Random(seed)
+                val tallies =
+                    usualMillis.map { (route, millis) ->
+                        val started =
+                            (0L..8_200L step 150).map { atMillis ->
+                                val new = atMillis >= 5_000 && random.nextDouble() < 0.225
+                                val slow = new && random.nextDouble() < 0.3
+                                Triple(atMillis, millis / 2 + random.nextLong(millis) * (if (slow) 4 else 1), new)
+                            }
+                        tallyAt(8_200, started, route)
+                    }
+                val tally = tallies.reduce(RolloutTally::plus)
+                short.nextPhase(tally, 8_200, newVersionReady = true) == FleetRolloutPhase.Completed
+            }
+        expectThat(completed).isEmpty()
+    }
+
     private fun tallyAt(
         nowMillis: Long,
         started: List<Triple<Long, Long, Boolean>>,
+        route: String = "r",
     ): RolloutTally {
         val (new, old) = started.partition { it.third }
         val ended = old.filter { it.first + it.second <= nowMillis }
         val usualMillis = if (ended.isEmpty()) 0.0 else ended.sumOf { it.second }.toDouble() / ended.size
         return RolloutTally(
             1,
-            listOf(tallyOf(old, nowMillis, usualMillis)),
-            listOf(tallyOf(new, nowMillis, usualMillis)),
+            listOf(tallyOf(old, nowMillis, usualMillis, route)),
+            listOf(tallyOf(new, nowMillis, usualMillis, route)),
         )
     }
 
@@ -305,10 +331,11 @@
         attempts: List<Triple<Long, Long, Boolean>>,
         nowMillis: Long,
         usualMillis: Double,
+        route: String,
     ): RouteTally {
         val (ended, open) = attempts.partition { it.first + it.second <= nowMillis }
         val late = open.filter { nowMillis - it.first > usualMillis }
         val timeMillis = ended.sumOf { it.second } + late.sumOf { nowMillis - it.first }
-        return RouteTally("r", good = ended.size, timeMillis = timeMillis, unfinished = late.size)
+        return RouteTally(route, good = ended.size, timeMillis = timeMillis, unfinished = late.size)
     }
 }
