Show a host that hangs under large bodies within the limit

The host keeps all bodies in 48 MB of direct memory without a bound; beyond it each read blocks its one event loop for about half a second.

--- /dev/null
+++ b/review/harness/LargeBodies.java
@@ -0,0 +1,112 @@
+import java.io.*;
+import java.net.*;
+import java.nio.charset.StandardCharsets;
+import java.util.*;
+import java.util.concurrent.*;
+
+/** A host that receives large bodies, each within max_body_bytes, from many clients at once stops answering anyone. */
+final class LargeBodies {
+    private static final int UPLOADS = 18;
+    private static final int BODY_BYTES = 4_000_000;
+    private static final int USUAL_UPLOADS = 8;
+    private static final int PAYMENT_TIMEOUT_MILLIS = 2_500;
+    private static final int CLIENT_DEADLINE_MILLIS = 5_000;
+
+    /** What one client saw of a request; [tookMillis] is the time to its answer, or until it gave up. */
+    record Seen(String kind, String id, long sentAt, long tookMillis, String outcome) {}
+
+    public static void main(String[] arguments) {
+        Lab.main(arguments[0], LargeBodies::run);
+    }
+
+    static int run(Lab lab) throws Exception {
+        lab.startHosts(3, 0);
+        String payments = Lab.route("payments", "/payments/", "non_idempotent", "counter", "")
+            .replace("\"timeout_ms\":20000,\"target_latency_ms\":2000", "\"timeout_ms\":" + PAYMENT_TIMEOUT_MILLIS
+                + ",\"target_latency_ms\":150");
+        lab.configure(Lab.document(3, List.of(Lab.route("uploads", "/uploads/", "idempotent", "counter", ""), payments),
+            List.of(Lab.service("counter"))));
+        for (int i = 1; i <= 3; i++) lab.new Replica("counter", "v1", "zone-" + i, 24).workMillis = 40;
+        lab.awaitReady();
+        Lab.sleep(4_000);
+
+        Lab.Host host = lab.hosts.get(0);
+        Queue<Seen> seen = new ConcurrentLinkedQueue<>();
+        ExecutorService clients = Executors.newCachedThreadPool();
+        boolean[] stopped = {false};
+        for (int i = 0; i < 10; i++) {
+            clients.execute(() -> {
+                while (!stopped[0]) seen.add(pay(lab, host));
+            });
+        }
+        Lab.sleep(3_000);
+        long burstAt = lab.now();
+        int uploads = lab.trouble ? UPLOADS : USUAL_UPLOADS;
+        lab.note(uploads + " clients send a body of " + BODY_BYTES + " bytes to " + host.name);
+        for (int i = 0; i < uploads; i++) clients.execute(() -> upload(lab, host, seen));
+        for (int i = 0; i < 14; i++) {
+            Lab.sleep(1_000);
+            lab.note("ready: " + host.isReady());
+        }
+        stopped[0] = true;
+        Lab.sleep(CLIENT_DEADLINE_MILLIS + 500);
+        clients.shutdownNow();
+
+        Map<String, Integer> outcomes = new TreeMap<>();
+        int late = 0, lateUnanswered = 0;
+        for (Seen one : seen) {
+            lab.note(one.toString());
+            outcomes.merge(one.kind() + " " + one.outcome(), 1, Integer::sum);
+            if (!one.kind().equals("payment") || one.tookMillis() < PAYMENT_TIMEOUT_MILLIS) continue;
+            late++;
+            if (one.tookMillis() > PAYMENT_TIMEOUT_MILLIS + 500) lateUnanswered++;
+        }
+        lab.note("burst at " + burstAt + ", outcomes: " + outcomes);
+        lab.note("payments that lasted longer than timeout_ms: " + late + ", of them without a final answer 0.5 s after it: "
+            + lateUnanswered);
+        if (outcomes.getOrDefault("payment 200", 0) < 100) return Lab.NOT_RUN;
+        return lateUnanswered >= 8 && lateUnanswered * 4 > late ? Lab.BROKEN : Lab.HELD;
+    }
+
+    private static Seen pay(Lab lab, Lab.Host host) {
+        String id = lab.nextAttempt();
+        long sentAt = lab.now();
+        String outcome;
+        try {
+            outcome = "" + lab.request(host, "POST", "/payments/" + id, id, CLIENT_DEADLINE_MILLIS).status;
+            Lab.sleep(100);
+        } catch (SocketTimeoutException late) {
+            outcome = "no answer";
+        } catch (Exception failure) {
+            outcome = failure.toString();
+        }
+        long took = lab.now() - sentAt;
+        return new Seen("payment", id, sentAt, outcome.equals("200") ? took - 100 : took, outcome);
+    }
+
+    private static void upload(Lab lab, Lab.Host host, Queue<Seen> seen) {
+        // A client repeats an idempotent request once after a failure, on a new connection.
+        for (int tries = 0; tries < 2; tries++) {
+            String id = lab.nextAttempt();
+            long sentAt = lab.now();
+            String outcome;
+            try (Socket socket = new Socket()) {
+                socket.connect(new InetSocketAddress(host.ip, lab.frontPort), 1_000);
+                socket.setSoTimeout(20_000);
+                OutputStream out = socket.getOutputStream();
+                String head = "POST /uploads/" + id + " HTTP/1.1\r\nHost: review.example\r\nX-Carawaytrack-Attempt-Id: " + id
+                    + "\r\nX-Carawaytrack-Deadline-Ms: 20000\r\nAuthorization: Bearer review-key\r\nContent-Length: "
+                    + BODY_BYTES + "\r\n\r\n";
+                out.write(head.getBytes(StandardCharsets.US_ASCII));
+                out.write(new byte[BODY_BYTES]);
+                out.flush();
+                Lab.Answer answer = Lab.readMessage(new BufferedInputStream(socket.getInputStream()), false);
+                outcome = answer == null ? "closed without an answer" : "" + answer.status;
+            } catch (IOException failure) {
+                outcome = failure.toString();
+            }
+            seen.add(new Seen("upload", id, sentAt, lab.now() - sentAt, outcome));
+            if (outcome.equals("200")) return;
+        }
+    }
+}
