--- a/review/harness/LargeBodies.java
+++ b/review/harness/LargeBodies.java
@@ -9,6 +9,7 @@
     private static final int UPLOADS = 18;
     private static final int BODY_BYTES = 4_000_000;
     private static final int USUAL_UPLOADS = 8;
+    private static final int PAYERS = 20;
     private static final int PAYMENT_TIMEOUT_MILLIS = 2_500;
     private static final int CLIENT_DEADLINE_MILLIS = 5_000;
 
@@ -34,7 +35,7 @@
         Queue<Seen> seen = new ConcurrentLinkedQueue<>();
         ExecutorService clients = Executors.newCachedThreadPool();
         boolean[] stopped = {false};
-        for (int i = 0; i < 10; i++) {
+        for (int i = 0; i < PAYERS; i++) {
             clients.execute(() -> {
                 while (!stopped[0]) seen.add(pay(lab, host));
             });
@@ -74,14 +75,14 @@
         String outcome;
         try {
             outcome = "" + lab.request(host, "POST", "/payments/" + id, id, CLIENT_DEADLINE_MILLIS).status;
-            Lab.sleep(100);
+            Lab.sleep(200);
         } catch (SocketTimeoutException late) {
             outcome = "no answer";
         } catch (Exception failure) {
             outcome = failure.toString();
         }
         long took = lab.now() - sentAt;
-        return new Seen("payment", id, sentAt, outcome.equals("200") ? took - 100 : took, outcome);
+        return new Seen("payment", id, sentAt, outcome.equals("200") ? took - 200 : took, outcome);
     }
 
     private static void upload(Lab lab, Lab.Host host, Queue<Seen> seen) {
