Count runs of a fake upstream before it answers

Two tests of repeated refusals failed once each, with no run counted instead of one, beside other load: the fake upstream counted a run after it had sent the answer, and the caller compared the count in between. It counts the run first now; what is compared stays the same.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
@@ -33,8 +33,8 @@
         return { _, out, socket ->
             when {
                 refusedOn == null -> out.send(refusal).also { refusedOn = socket }
-                refusedOn === socket -> out.send(refusal + answer).also { runs.incrementAndGet() }
-                else -> out.send(answer).also { runs.incrementAndGet() }
+                refusedOn === socket -> runs.incrementAndGet().also { out.send(refusal + answer) }
+                else -> runs.incrementAndGet().also { out.send(answer) }
             }
             true
         }
@@ -52,8 +52,8 @@
         val anonymous = refusal.replace("x-attempt: id1\n", "")
         serve({ request, out, _ ->
             val first = request.body == "first"
-            out.send(if (first) answer else anonymous + answer)
             if (!first) runs.incrementAndGet()
+            out.send(if (first) answer else anonymous + answer)
             true
         })
         expectThat(exchange(request("/pay/x", body = "first"))?.body).isEqualTo("done")
