Take an answer without a length for truncated if its request could not be sent

Cause: the end of a connection completes an answer without a length unless the connection is known to have failed, and only a failed read counted as that. If the upstream answers before it has read a long request and resets the connection, the write fails first. Netty then closes the channel without a read, and the decoder reports the end of the body.

Evidence: the four cases of FaultyResponseTest, "an answer without a length is not complete if the request could not be sent in full", all failed before and pass now.

Change: a failed write marks the connection as failed. The mark is set before the end is reported, since pending writes fail before the channel becomes inactive, so such an end never completes an answer.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -216,7 +216,11 @@
             skippedBytes = 0
             next.attachTo(channel)
             channel.config().isAutoRead = true
-            channel.writeAndFlush(next.request).addListener { written = it.isSuccess }
+            channel.writeAndFlush(next.request).addListener { sent ->
+                written = sent.isSuccess
+                // Netty closes the connection, which looks like its orderly end to the decoder of the response.
+                if (!sent.isSuccess) broken = true
+            }
         }
 
         override fun channelRead(
@@ -300,7 +304,7 @@
         }
 
         private fun responseComplete(current: Attempt) {
-            // A response without a length ends with the connection, so a reset means that it is truncated.
+            // A response without a length ends with the connection, so one that failed means that it is truncated.
             if (broken) return
             attempt = null
             current.end()
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
@@ -20,6 +20,13 @@
 /** Time after which an upstream that broke attempts is used again. */
 private const val PAUSE_OVER_MILLIS = 5_000L
 
+/** Size of a body that fits neither the buffers of its sender nor those of its receiver. */
+private const val LONG_BODY_BYTES = 16 * 1024 * 1024
+
+private const val PART_READ_MILLIS = 300L
+
+private const val UNFRAMED_HEAD = "HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\n\n"
+
 private const val STREAM_BEGIN = "id: 1\ndata: 1\n\n"
 
 internal class FaultyResponseTest : GatewayFixture() {
@@ -106,4 +113,38 @@
         )
         expectThat(exchange(request("/draft/x", deadlineMillis = 600))?.body).isEqualTo(STREAM_BEGIN + "(broken off)")
     }
+
+    /** A caller's request on [path], and the [body] that the caller receives. */
+    enum class TruncatedAnswer(
+        val path: String,
+        val body: String,
+    ) {
+        ResumableStream("/draft/x", STREAM_BEGIN + "id: 2\ndata: 2\n\n"),
+        StreamThatMayRunOnce("/oneoff/x", "$STREAM_BEGIN(broken off)"),
+        RepeatableCall("/lookup/x", "done"),
+        CallThatMayRunOnce("/pay/x", "the upstream connection failed before a complete response: Broken\n"),
+    }
+
+    // Guards against a truncated answer that reaches its caller as complete.
+    @ParameterizedTest
+    @EnumSource
+    fun `an answer without a length is not complete if the request could not be sent in full`(case: TruncatedAnswer) {
+        val stream = "data" in case.body
+        val truncating =
+            FakeUpstream(readsBodies = false) { _, out, _ ->
+                out.send(UNFRAMED_HEAD)
+                out.raw(if (stream) STREAM_BEGIN else "do")
+                // The gateway reads this part before the reset.
+                Thread.sleep(PART_READ_MILLIS)
+                false
+            }
+        val sound =
+            FakeUpstream { _, out, _ ->
+                if (stream) out.send(STREAM_HEAD).also { out.raw(event(2) + "0\r\n\r\n") } else out.send(answer)
+                true
+            }
+        serveFrom(listOf(truncating, sound), maxBodyBytes = LONG_BODY_BYTES.toLong())
+        val response = exchange(request(case.path, body = "a".repeat(LONG_BODY_BYTES)))
+        expectThat(response?.body).isEqualTo(case.body)
+    }
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -103,22 +103,21 @@
         sticky = false,
     )
 
-    private val catalog =
-        Catalog(
-            version = 1,
-            routes =
-                listOf(
-                    route("lookup"),
-                    route("pay", idempotent = false),
-                    route("draft", streaming = true),
-                    route("oneoff", streaming = true, idempotent = false),
-                    route("prompt", streaming = true, targetMillis = 400),
-                ),
-            pools = listOf("stock", "llm").map { pool(it) }.associateBy { it.name },
-            organisations = listOf(organisation("stalls", "k1"), organisation("scribes", "k2")),
-            keysRequired = true,
-            limits = CallerLimits(maxBodyBytes = 1_000),
-        )
+    private fun catalog(maxBodyBytes: Long) = Catalog(
+        version = 1,
+        routes =
+            listOf(
+                route("lookup"),
+                route("pay", idempotent = false),
+                route("draft", streaming = true),
+                route("oneoff", streaming = true, idempotent = false),
+                route("prompt", streaming = true, targetMillis = 400),
+            ),
+        pools = listOf("stock", "llm").map { pool(it) }.associateBy { it.name },
+        organisations = listOf(organisation("stalls", "k1"), organisation("scribes", "k2")),
+        keysRequired = true,
+        limits = CallerLimits(maxBodyBytes = maxBodyBytes),
+    )
 
     private fun organisation(
         name: String,
@@ -139,13 +138,18 @@
     }
 
     /** Starts upstreams that all serve the pools "stock" and "llm", the first one in the gateway's own zone. */
-    protected fun serve(vararg responders: (RawMessage, OutputStream, Socket) -> Boolean) {
-        responders.forEachIndexed { index, responder ->
-            val upstream = FakeUpstream(responder)
+    protected fun serve(vararg responders: (RawMessage, OutputStream, Socket) -> Boolean) =
+        serveFrom(responders.map { FakeUpstream(respond = it) })
+
+    protected fun serveFrom(
+        fakes: List<FakeUpstream>,
+        maxBodyBytes: Long = 1_000,
+    ) {
+        fakes.forEachIndexed { index, upstream ->
             upstreams += upstream
             listOf("stock", "llm").forEach { pool -> announce("$pool-$index", pool, upstream, index) }
         }
-        onLoop { gateway.apply(catalog) }
+        onLoop { gateway.apply(catalog(maxBodyBytes)) }
     }
 
     private fun announce(
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/Loopback.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/Loopback.kt
@@ -36,13 +36,16 @@
     }
 }
 
-/** Reads a message; returns null at the end of the connection. */
-internal fun readMessage(input: InputStream): RawMessage? {
+/** Reads a message, without its body if [withBody] is false; returns null at the end of the connection. */
+internal fun readMessage(
+    input: InputStream,
+    withBody: Boolean = true,
+): RawMessage? {
     val start = readLine(input)?.takeIf { it.isNotEmpty() } ?: return null
     val headers =
         generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
             .associate { it.substringBefore(':').trim().lowercase() to it.substringAfter(':').trim() }
-    return RawMessage(start, headers, readBody(input, headers))
+    return RawMessage(start, headers, if (withBody) readBody(input, headers) else "")
 }
 
 private fun readBody(
@@ -60,8 +63,12 @@
     }
 }
 
-/** An upstream that serves each request with [respond]; a connection is closed when the function returns false. */
+/**
+ * An upstream that serves each request with [respond]; a connection is closed when the function returns false, and
+ * reset if the body of the request was left unread.
+ */
 internal class FakeUpstream(
+    private val readsBodies: Boolean = true,
     private val respond: (RawMessage, OutputStream, Socket) -> Boolean,
 ) : AutoCloseable {
     private val server = ServerSocket(0)
@@ -94,7 +101,7 @@
         input: InputStream,
     ) {
         while (true) {
-            val request = readMessage(input) ?: return
+            val request = readMessage(input, readsBodies) ?: return
             requests += request
             if (!respond(request, socket.getOutputStream(), socket)) return
         }
