Ask for the signature of each answer that goes on with a stream

A caller could get a stream that is continued, or ended as complete, by an answer of the second upstream that is not signed.

Cause: the signature was checked only while the caller had no response head.

Evidence: two more cases of the FaultyResponseTest test of resumed streams, an unsigned event and an unsigned empty answer, failed before and pass now.

Change: a success without a signature is broken whether or not the stream has begun, so nothing unsigned is joined to it.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
@@ -59,7 +59,7 @@
         bytes: ByteBuf,
     ): Boolean {
         val events = scanner?.append(bytes, caller.channel.alloc()) ?: bytes
-        val valid = scanner?.corrupted != true && (started || head.isSigned(headerNames))
+        val valid = scanner?.corrupted != true && head.isSigned(headerNames)
         if (!valid || !events.isReadable) {
             events.release()
             return valid
@@ -94,7 +94,7 @@
 
     /** Returns whether the response with [head], whose body has ended, may be sent to the caller. */
     fun isComplete(head: HttpResponse): Boolean = when {
-        isStream(head) -> scanner?.isAtBoundary != false && (started || head.isSigned(headerNames))
+        isStream(head) -> scanner?.isAtBoundary != false && head.isSigned(headerNames)
         // An error response from the upstream that was to resume a stream must not be appended to the stream.
         started -> !request.route.streaming
         else -> !head.isSuccess() || head.isSigned(headerNames)
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
@@ -102,6 +102,8 @@
         MayHaveRun("HTTP/1.1 503 Service Unavailable\nx-attempt: id1\nContent-Length: 5\n\nsorry"),
         NotRun("HTTP/1.1 503 Service Unavailable\nx-attempt: id1\nx-not-executed: 1\nContent-Length: 0\n\n"),
         NoResponse("sorry\n\n"),
+        UnsignedEvent("HTTP/1.1 200 OK\nx-attempt: id1\nContent-Length: 18\n\nid: 2\ndata: 2\n\n"),
+        UnsignedEnd("HTTP/1.1 200 OK\nx-attempt: id1\nContent-Length: 0\n\n"),
     }
 
     @ParameterizedTest
