Reset the connection of an HTTP/1.0 caller whose response breaks off

Evidence: the new case of FaultyResponseTest read an orderly end before, and gets a reset now.

Change: a response that is not chunked is aborted by a reset, the only end that such a caller can tell apart.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -273,6 +273,8 @@
          */
         fun abort() {
             listener = null
+            // An orderly end would complete a response that is not chunked; without lingering, the connection is reset.
+            if (!chunked) channel.config().setOption(ChannelOption.SO_LINGER, 0)
             channel.close()
         }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
@@ -11,10 +11,12 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 import strikt.api.expectThat
+import strikt.api.expectThrows
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotEqualTo
 import java.io.OutputStream
 import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Time after which an upstream that broke attempts is used again. */
@@ -116,6 +118,16 @@
         expectThat(exchange(request("/draft/x", deadlineMillis = 600))?.body).isEqualTo(STREAM_BEGIN + "(broken off)")
     }
 
+    // Guards against a truncated answer that a caller without chunked coding takes for complete.
+    @Test
+    fun `a stream that breaks off is reset for a caller that speaks HTTP 1 point 0`() {
+        serve({ _, out, _ -> false.also { out.send(STREAM_HEAD).also { _ -> out.raw(event(1)) } } })
+        FakeCaller(callers).use { caller ->
+            caller.send(request("/oneoff/x").replace("HTTP/1.1", "HTTP/1.0"))
+            expectThrows<SocketException> { caller.readUntil("data: 2\n\n") }
+        }
+    }
+
     /** A caller's request on [path], and the [body] that the caller receives. */
     enum class TruncatedAnswer(
         val path: String,
