Refuse calls that may outlast a shutdown, and answer those in progress at its end

Callers of a host that is stopped as planned could lose calls (LOST, reported by an operator of another system): a call that arrived late in the grace was passed on and cut at its end without an answer, also one that may not be repeated.

Cause: a draining gateway did not know when its host ends. It refused new streams only, and the process exited with calls in progress.

Evidence: two of the four cases of GatewayTest, "a call that may outlast a shutdown of two seconds is refused as not run", and "a call that is in progress at the end of a shutdown gets an answer" failed with the two changed lines taken out, and pass now.

Change: drain is told the remaining time. A call with a later deadline is refused at once as not run, so each accepted call has ended by its deadline. Calls in progress from before get 503 if they certainly have not run, 502 otherwise. Constructors of failures move from Dispatcher to ExchangeFailures, unchanged.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -8,17 +8,9 @@
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.RolloutTally
 import io.carawaytrack.model.ErrorKind
-import io.carawaytrack.model.Execution
-import io.carawaytrack.model.Failure
 import io.carawaytrack.model.notRun
 import io.netty.handler.codec.http.HttpResponse
 
-/** Retry-After when all upstreams are full: some of their requests have ended by then. */
-private const val POOL_EXHAUSTED_RETRY_AFTER_MILLIS = 400L
-
-/** Retry-After while this host shuts down: another host can take the request at once. */
-private const val SHUTDOWN_RETRY_AFTER_MILLIS = 20L
-
 /** Typical number of tokens in an event; engines differ little. */
 private const val TOKENS_PER_EVENT = 7
 
@@ -50,24 +42,27 @@
 
     override fun nowMillis(): Long = nowMillis.invoke()
 
-    /** Starts serving [request] from [pool]; a [draining] host refuses streams. */
+    /** Starts serving [request] from [pool]; refuses it if it may outlast this host, which ends at [endsAtMillis]. */
     fun begin(
         request: CallerRequest,
         pool: CatalogPool?,
         caller: CallerConnection,
-        draining: Boolean,
+        endsAtMillis: Long?,
     ) {
         val exchange = Exchange(request, pool, caller, this)
         active += exchange
         if (pool == null) return exchange.fail(ErrorKind.NoHealthyUpstream.notRun("the route has no configured pool"))
-        if (draining && request.route.streaming) {
-            return exchange.fail(ErrorKind.ShuttingDown.notRun(retryAfterMillis = SHUTDOWN_RETRY_AFTER_MILLIS))
+        if (endsAtMillis != null && (request.route.streaming || request.deadlineAtMillis > endsAtMillis)) {
+            return exchange.fail(shuttingDown(exchange))
         }
         if (request.gatewayChoosesModel) exchange.modelIndex = modelPolicy.firstModel(request.route, pool)
         budgets.recordRequest(pool.name)
         enqueue(exchange)
     }
 
+    /** Ends all exchanges because this host ends. */
+    fun endAll() = active.toList().forEach { it.abandonWith(::shuttingDown) }
+
     /** Checks deadlines, unresponsive upstreams and queued requests. */
     fun tick() {
         active.toList().forEach { it.tick() }
@@ -98,30 +93,6 @@
         logExchange(exchange, "request_placed", detail)
     }
 
-    private fun noUpstream(exchange: Exchange) = when {
-        exchange.hasNotRun -> ErrorKind.NoHealthyUpstream.notRun(retryAfterMillis = NO_UPSTREAM_RETRY_AFTER_MILLIS)
-        else -> attemptsExhausted(exchange)
-    }
-
-    private fun poolExhausted(exchange: Exchange) = when {
-        exchange.hasNotRun -> ErrorKind.PoolExhausted.notRun(retryAfterMillis = POOL_EXHAUSTED_RETRY_AFTER_MILLIS)
-        else -> attemptsExhausted(exchange)
-    }
-
-    private fun quarantined(
-        exchange: Exchange,
-        refusedForMillis: Long,
-    ) = when {
-        exchange.hasNotRun -> ErrorKind.PromptQuarantined.notRun(retryAfterMillis = refusedForMillis)
-        else -> attemptsExhausted(exchange)
-    }
-
-    private fun attemptsExhausted(exchange: Exchange) = Failure(
-        ErrorKind.UpstreamFailed,
-        Execution.MayHaveRun,
-        "no other upstream can take over the request after ${exchange.attempts} attempts",
-    )
-
     /** Sends the exchange if an upstream can accept it now, or ends it if it is refused; returns whether it did. */
     private fun tryPlace(exchange: Exchange): Boolean {
         val pool = exchange.pool ?: return false
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -120,15 +120,17 @@
         val now = context.nowMillis()
         when {
             phase == ExchangePhase.Ended -> return
-            now >= request.deadlineAtMillis -> timeOut()
+            now >= request.deadlineAtMillis ->
+                abandonWith { timedOut(execution, request.deadlineAtMillis - request.arrivedAtMillis) }
             phase == ExchangePhase.Sent && isStalled(now) -> abandonUnresponsiveUpstream()
         }
     }
 
-    private fun timeOut() {
+    /** Cancels the current attempt and ends the exchange with [failure], which is determined after that. */
+    fun abandonWith(failure: (Exchange) -> Failure) {
         context.attemptAbandoned(this)
         releaseAttempt(cancel = true)
-        fail(timedOut(execution, request.deadlineAtMillis - request.arrivedAtMillis))
+        fail(failure(this))
     }
 
     private fun isStalled(now: Long): Boolean {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeFailures.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeFailures.kt
@@ -7,6 +7,13 @@
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Execution
 import io.carawaytrack.model.Failure
+import io.carawaytrack.model.notRun
+
+/** Retry-After when all upstreams are full: some of their requests have ended by then. */
+private const val POOL_EXHAUSTED_RETRY_AFTER_MILLIS = 400L
+
+/** Retry-After while this host shuts down: another host can take the request at once. */
+private const val SHUTDOWN_RETRY_AFTER_MILLIS = 20L
 
 /** No complete response arrived within [allowedMillis], the time until the deadline. */
 internal fun timedOut(
@@ -30,3 +37,36 @@
     end: AttemptEnd,
 ): Failure =
     Failure(ErrorKind.UpstreamFailed, execution, "the upstream connection failed before a complete response: $end")
+
+/** No upstream may accept the exchange. */
+internal fun noUpstream(exchange: Exchange): Failure = when {
+    exchange.hasNotRun -> ErrorKind.NoHealthyUpstream.notRun(retryAfterMillis = NO_UPSTREAM_RETRY_AFTER_MILLIS)
+    else -> attemptsExhausted(exchange)
+}
+
+/** No upstream had free capacity in time. */
+internal fun poolExhausted(exchange: Exchange): Failure = when {
+    exchange.hasNotRun -> ErrorKind.PoolExhausted.notRun(retryAfterMillis = POOL_EXHAUSTED_RETRY_AFTER_MILLIS)
+    else -> attemptsExhausted(exchange)
+}
+
+/** The request is refused for [refusedForMillis] because it may crash upstreams. */
+internal fun quarantined(
+    exchange: Exchange,
+    refusedForMillis: Long,
+): Failure = when {
+    exchange.hasNotRun -> ErrorKind.PromptQuarantined.notRun(retryAfterMillis = refusedForMillis)
+    else -> attemptsExhausted(exchange)
+}
+
+/** This host ends before the exchange does. */
+internal fun shuttingDown(exchange: Exchange): Failure = when {
+    exchange.hasNotRun -> ErrorKind.ShuttingDown.notRun(retryAfterMillis = SHUTDOWN_RETRY_AFTER_MILLIS)
+    else -> Failure(ErrorKind.ShuttingDown, Execution.MayHaveRun, "the host ended before a complete response")
+}
+
+private fun attemptsExhausted(exchange: Exchange) = Failure(
+    ErrorKind.UpstreamFailed,
+    Execution.MayHaveRun,
+    "no other upstream can take over the request after ${exchange.attempts} attempts",
+)
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -149,10 +149,11 @@
     public fun tick()
 
     /**
-     * Starts a graceful shutdown: new connections are no longer accepted, idle ones are closed, the others are closed
-     * after their current response, and new streams are refused because they might not end in time.
+     * Starts a graceful shutdown that ends in [remainingMillis]: new connections are no longer accepted, idle ones are
+     * closed, and the others are closed after their current response. Refuses new streams, and calls that may take
+     * longer than the remaining time. Requests that are in progress at the end get an error or a truncated stream.
      */
-    public fun drain()
+    public fun drain(remainingMillis: Long)
 }
 
 /**
@@ -181,7 +182,7 @@
     private val callers =
         CallerConnections(
             group,
-            CallerEvents(::accept, ::refuseMalformed, { catalog?.limits ?: CallerLimits() }, { draining }),
+            CallerEvents(::accept, ::refuseMalformed, { catalog?.limits ?: CallerLimits() }, { endsAtMillis != null }),
             nowMillis,
         )
     private val connections = UpstreamConnections(group, nowMillis)
@@ -190,7 +191,7 @@
     private val dispatcher =
         Dispatcher(settings, headerNames, upstreams, rollouts, connections, meters, crashRecorded, nowMillis)
     private var catalog: Catalog? = null
-    private var draining = false
+    private var endsAtMillis: Long? = null
     private var ticks = 0L
     private var serverChannel: Channel? = null
 
@@ -243,8 +244,8 @@
         version: String,
     ): Boolean = upstreams.serves(pool, version)
 
-    override fun drain() {
-        draining = true
+    override fun drain(remainingMillis: Long) {
+        endsAtMillis = nowMillis() + remainingMillis
         serverChannel?.close()
         callers.closeIdle()
     }
@@ -270,7 +271,12 @@
             RouteMatch.UnknownKey -> refuse(request, body, caller, ErrorKind.UnknownKey)
             is RouteMatch.Found -> {
                 val callerRequest = readRequest(request, body, match, headerNames, nowMillis())
-                dispatcher.begin(callerRequest, choosePool(match.route, callerRequest.id, inForce), caller, draining)
+                dispatcher.begin(
+                    callerRequest,
+                    choosePool(match.route, callerRequest.id, inForce),
+                    caller,
+                    endsAtMillis,
+                )
             }
         }
     }
@@ -316,13 +322,14 @@
     override fun tick() {
         upstreams.refresh(fleet.upstreams())
         dispatcher.tick()
+        endsAtMillis?.let { if (nowMillis() >= it) dispatcher.endAll() }
         if (++ticks % TICKS_PER_PRUNE == 0L) prune()
     }
 
     private fun prune() {
         connections.prune()
         callers.prune()
-        if (draining) callers.closeIdle()
+        if (endsAtMillis != null) callers.closeIdle()
     }
 
     override fun close() {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
@@ -5,11 +5,14 @@
 package io.carawaytrack.gateway
 
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 
 internal class GatewayTest : GatewayFixture() {
@@ -219,7 +222,7 @@
                 )
                 caller.send(request("/lookup/x", body = "ab").dropLast(1))
                 caller.awaitRead()
-                onLoop { gateway.drain() }
+                onLoop { gateway.drain(remainingMillis = 60_000) }
                 other.send("x")
                 caller.send("b")
                 expectThat(caller.response()?.body).isEqualTo("done")
@@ -228,6 +231,42 @@
         }
     }
 
+    // Guards against calls that are passed on late in a shutdown and cut off at its end.
+    @ParameterizedTest
+    @CsvSource("/pay/x,3000,503,0", "/lookup/x,3000,503,0", "/pay/x,1000,200,1", "/lookup/x,1000,200,1")
+    fun `a call that may outlast a shutdown of two seconds is refused as not run`(
+        path: String,
+        deadlineMillis: Int,
+        status: String,
+        runs: Int,
+    ) {
+        serve({ _, out, _ -> true.also { out.send(fullResponse("200 OK", "done")) } })
+        FakeCaller(callers).use { caller ->
+            caller.send(request(path, body = "ab", deadlineMillis = deadlineMillis).dropLast(1))
+            caller.awaitRead()
+            val runsBefore = upstreams[0].requests.size
+            onLoop { gateway.drain(remainingMillis = 2_000) }
+            caller.send("b")
+            expectThat(caller.response()?.start?.substring(9, 12)).isEqualTo(status)
+            expectThat(upstreams[0].requests.size - runsBefore).isEqualTo(runs)
+        }
+    }
+
+    // Guards against requests that are cut off without an answer at the end of a shutdown.
+    @Test
+    fun `a call that is in progress at the end of a shutdown gets an answer`() {
+        val answer = CountDownLatch(1)
+        serve({ _, _, _ -> false.also { answer.await() } })
+        FakeCaller(callers).use { caller ->
+            caller.send(request("/pay/x"))
+            expectThat(upstreams[0].requests.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isNotNull()
+            onLoop { gateway.drain(remainingMillis = 2_000) }
+            advance(2_000)
+            expectThat(caller.response()?.start?.substring(9, 12)).isEqualTo("502")
+        }
+        answer.countDown()
+    }
+
     /** Waits until the gateway has read what was sent on its connections so far. */
     private fun FakeCaller.awaitRead() {
         check(!socket.isClosed) { "expected an open connection" }
