--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -289,8 +289,8 @@
         id: String,
         inForce: Catalog,
     ): CatalogPool? {
-        val total = route.shares.sumOf { it.weight }
-        var point = (unitHash(id) * total).toInt()
+        val total = route.shares.sumOf { it.weight.toLong() }
+        var point = (unitHash(id) * total).toLong()
         val share = route.shares.firstOrNull { share -> (point < share.weight).also { point -= share.weight } }
         return share?.let { inForce.pools[it.pool] }
     }
