Send slow readers their whole responses before a host ends

Cause: a response counted as sent when its last byte was handed to the connection. From then on the connection was idle, and closed with up to 256 kB that the socket had not taken, and the process did not wait for them either.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -100,10 +100,13 @@
         .syncUninterruptibly()
         .channel()
 
+    /** Bytes of responses that have not been sent because their callers read slowly. */
+    val unsentBytes: Long get() = open.sumOf { it.unsentBytes }
+
     /** Closes connections that have been idle, or receiving one request, for longer than the idle timeout. */
     fun prune() = open.toList().forEach { it.prune(nowMillis(), events.limits()) }
 
-    /** Closes the connections without a request in progress. */
+    /** Closes the connections without a request in progress, once all their responses have been sent. */
     fun closeIdle() = open.toList().forEach { it.closeIfIdle() }
 
     internal class CallerConnection(
@@ -119,6 +122,9 @@
         private var keepAlive = true
         private var phaseSinceMillis = owner.nowMillis()
         private var receiving = false
+        private var lastUnsentBytes = 0L
+
+        val unsentBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
 
         override fun channelActive(context: ChannelHandlerContext) {
             owner.open += this
@@ -295,13 +301,19 @@
             limits: CallerLimits,
         ) {
             if (responding) return
+            // A caller that still reads the last response is not idle.
+            if (unsentBytes != lastUnsentBytes) phaseSinceMillis = now
+            lastUnsentBytes = unsentBytes
             if (now - phaseSinceMillis > limits.idleTimeoutMillis) channel.close()
         }
 
         fun closeIfIdle() {
-            if (!responding && !receiving) channel.close()
+            if (!isIdle) return
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { if (isIdle) channel.close() }
         }
 
+        private val isIdle get() = !responding && !receiving
+
         override fun channelWritabilityChanged(context: ChannelHandlerContext) {
             listener?.onCallerWritable(channel.isWritable)
         }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -100,6 +100,9 @@
     /** Number of requests whose response is not complete. */
     public val unfinished: Int
 
+    /** Bytes of responses that have not been sent because their callers read slowly, also of finished requests. */
+    public val unsentBytes: Long
+
     /** Number of [unfinished] requests that wait for an upstream with free capacity. */
     public val waiting: Int
 
@@ -197,6 +200,8 @@
 
     override val unfinished: Int get() = dispatcher.unfinished
 
+    override val unsentBytes: Long get() = callers.unsentBytes
+
     override val waiting: Int get() = dispatcher.waiting
 
     override val limitedUpstreams: Map<PoolName, Int> get() = upstreams.limited()
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
@@ -9,12 +9,16 @@
 import org.junit.jupiter.params.provider.CsvSource
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.SynchronousQueue
 import java.util.concurrent.TimeUnit
 
+private const val LAST_CHUNK = "0\n\n"
+
 internal class GatewayTest : GatewayFixture() {
     @Test
     fun `a request reaches its upstream unchanged except for the headers that the gateway sets`() {
@@ -267,6 +271,39 @@
         answer.countDown()
     }
 
+    // Guards against responses that are cut because their callers read slowly while the host shuts down.
+    @Test
+    fun `a slow reader gets its whole response in a shutdown`() {
+        val chunks = SynchronousQueue<String>()
+        serve({ _, out, _ ->
+            out.send("HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nTransfer-Encoding: chunked\n\n")
+            generateSequence(chunks::take).onEach { out.send(it) }.first { it == LAST_CHUNK }
+            true
+        })
+        FakeCaller(callers).use { caller ->
+            caller.send(request("/lookup/x"))
+            // Until the buffers of both sockets are full, so that the gateway holds the rest.
+            awaitOnLoop(before = { chunks.put("4000\n${"a".repeat(0x4000)}\n") }) { gateway.unsentBytes > 0 }
+            chunks.put(LAST_CHUNK)
+            awaitOnLoop { gateway.unfinished == 0 }
+            onLoop { gateway.drain(remainingMillis = 60_000) }
+            expectThat(caller.response()?.body).isNotNull().endsWith("aa")
+        }
+    }
+
+    private fun awaitOnLoop(
+        before: () -> Unit = {},
+        condition: () -> Boolean,
+    ) {
+        val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)
+        var met = false
+        while (!met) {
+            check(System.nanoTime() < endNanos) { "expected the condition within $TIMEOUT_SECONDS s" }
+            before()
+            onLoop { met = condition() }
+        }
+    }
+
     /** Waits until the gateway has read what was sent on its connections so far. */
     private fun FakeCaller.awaitRead() {
         check(!socket.isClosed) { "expected an open connection" }
