Refuse a large success without a signature

Cause: the signature of a plain response was checked at its end, and a response that outgrows the buffer is forwarded before that.

Evidence: of six new cases of EndlessResponseTest, those in chunk sizes and trailers held before, and the two in an unsigned success failed: one caller got 200 in place of 502. All pass now.

Change: an unsigned success that outgrows the buffer ends the attempt as broken, so none is forwarded.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
@@ -76,7 +76,8 @@
         val buffer = buffered ?: Unpooled.compositeBuffer(MAX_BUFFER_COMPONENTS).also { buffered = it }
         buffer.addComponent(true, bytes)
         if (buffer.readableBytes() <= MAX_BUFFERED_BYTES) return true
-        if (request.route.streaming || head.refusal(headerNames) != null) return false
+        val unsigned = head.isSuccess() && !head.isSigned(headerNames)
+        if (request.route.streaming || unsigned || head.refusal(headerNames) != null) return false
         buffered = null
         start(head)
         caller.write(buffer)
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/EndlessResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EndlessResponseTest.kt
@@ -147,6 +147,8 @@
         const val REFUSAL_HEAD =
             "HTTP/1.1 503 Busy\nx-attempt: id1\nx-not-executed: 1\nTransfer-Encoding: chunked\n\n"
         const val OTHER_HEAD = "HTTP/1.1 200 OK\nx-attempt: id0\nx-seal: s\nTransfer-Encoding: chunked\n\n"
+        const val CHUNKED_HEAD = "HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nTransfer-Encoding: chunked\n\n"
+        const val UNSIGNED_HEAD = "HTTP/1.1 200 OK\nx-attempt: id1\nTransfer-Encoding: chunked\n\n"
         const val CHUNK = "40\r\n$PIECE\r\n"
 
         @JvmStatic
@@ -154,6 +156,18 @@
             Case("in a status line", "/lookup/x", "HTTP/1.1 200 ", PIECE, "200"),
             Case("in a head", "/lookup/x", "HTTP/1.1 200 OK\n", "x-more: $PIECE\r\n", "200"),
             Case("in a head of a call that may run once", "/pay/x", "HTTP/1.1 200 OK\n", "x-more: $PIECE\r\n", "502"),
+            Case("in the size of a chunk", "/lookup/x", CHUNKED_HEAD, PIECE, "200"),
+            Case("in the size of a chunk of a call that may run once", "/pay/x", CHUNKED_HEAD, PIECE, "502"),
+            Case("in the trailers", "/lookup/x", CHUNKED_HEAD + "0\n", "x-more: $PIECE\r\n", "200"),
+            Case(
+                "in the trailers of a call that may run once",
+                "/pay/x",
+                CHUNKED_HEAD + "0\n",
+                "x-more: $PIECE\r\n",
+                "502",
+            ),
+            Case("in a success without a signature", "/lookup/x", UNSIGNED_HEAD, CHUNK, "200"),
+            Case("in a success without a signature of a call that may run once", "/pay/x", UNSIGNED_HEAD, CHUNK, "502"),
             Case("as interim responses", "/lookup/x", "", "HTTP/1.1 100 Continue\r\n\r\n", "200"),
             Case("in the body of a refusal", "/lookup/x", REFUSAL_HEAD, CHUNK, "200"),
             Case("in the body of a refusal of a call that may run once", "/pay/x", REFUSAL_HEAD, CHUNK, "200"),
