Keep a deregistration without a start of an upstream that is not known

Cause: without a start the registry could not tell which incarnation leaves, and dropped the call.

Evidence: UpstreamRegistryTest, "a deregistration without a start applies to an announcement that was made before it", failed before and passes now.

Change: the deregistration is passed on, and remembered with its time. It applies to an announcement that is older by its age, so it needs no clock of the upstream, and a later start under the same identifier is not affected.

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/UpstreamRegistry.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/UpstreamRegistry.kt
@@ -46,7 +46,7 @@
         compareValuesBy(this, other, FleetUpstream::startedAtMillis, FleetUpstream::sequence) > 0
 }
 
-/** Deregistration of the start [startedAtMillis] of an upstream; null stands for any start. */
+/** Deregistration of the start [startedAtMillis] of an upstream; null stands for the start that is known. */
 @Serializable
 public data class Deregistration(
     val id: UpstreamId,
@@ -112,6 +112,9 @@
     private val idsByAddress = HashMap<HostPort, UpstreamId>()
     private val deregistered = LinkedHashMap<UpstreamId, Long>()
 
+    /** Times of deregistrations without a start of upstreams that were not known then. */
+    private val unresolvedAtMillis = LinkedHashMap<UpstreamId, Long>()
+
     override val upstreams: Collection<KnownUpstream> get() = known.values
 
     override val deregistrations: List<Deregistration>
@@ -123,6 +126,7 @@
         announced: FleetUpstream,
         ageMillis: Long,
     ): RegistryUpdate {
+        resolveDeregistration(announced, ageMillis)
         if (isDeregistered(announced) || isSuperseded(announced)) return RegistryUpdate.Ignored
         val previous = known[announced.id]
         if (previous != null && !announced.isNewerThan(previous.upstream)) return RegistryUpdate.Ignored
@@ -136,11 +140,10 @@
 
     override fun deregister(deregistration: Deregistration): Boolean {
         val current = known[deregistration.id]
-        val startedAtMillis = deregistration.startedAtMillis ?: current?.upstream?.startedAtMillis ?: return false
+        val startedAtMillis = deregistration.startedAtMillis ?: current?.upstream?.startedAtMillis
+        if (startedAtMillis == null) return unresolvedAtMillis.putNewest(deregistration.id, nowMillis()) == null
         if (startedAtMillis <= (deregistered[deregistration.id] ?: Long.MIN_VALUE)) return false
-        deregistered.remove(deregistration.id)
-        deregistered[deregistration.id] = startedAtMillis
-        while (deregistered.size > MAX_DEREGISTRATIONS) deregistered.remove(deregistered.keys.first())
+        deregistered.putNewest(deregistration.id, startedAtMillis)
         if (current != null && current.upstream.startedAtMillis <= startedAtMillis) remove(current.upstream)
         return true
     }
@@ -152,6 +155,17 @@
         return expired
     }
 
+    /** Applies a deregistration without a start to the start that [announced] names, if it was announced before it. */
+    private fun resolveDeregistration(
+        announced: FleetUpstream,
+        ageMillis: Long,
+    ) {
+        val deregisteredAtMillis = unresolvedAtMillis[announced.id] ?: return
+        if (nowMillis() - ageMillis > deregisteredAtMillis) return
+        unresolvedAtMillis -= announced.id
+        deregister(Deregistration(announced.id, announced.startedAtMillis))
+    }
+
     private fun isDeregistered(announced: FleetUpstream) =
         announced.startedAtMillis <= (deregistered[announced.id] ?: Long.MIN_VALUE)
 
@@ -178,5 +192,16 @@
     }
 }
 
+/** Sets the value of [key], as the newest of at most [MAX_DEREGISTRATIONS] entries, and returns the previous one. */
+private fun <K> LinkedHashMap<K, Long>.putNewest(
+    key: K,
+    value: Long,
+): Long? {
+    val previous = remove(key)
+    put(key, value)
+    while (size > MAX_DEREGISTRATIONS) remove(keys.first())
+    return previous
+}
+
 private fun FleetUpstream.routesLike(other: FleetUpstream): Boolean = (coldMillis > 0) == (other.coldMillis > 0) &&
     copy(sequence = 0, coldMillis = 0) == other.copy(sequence = 0, coldMillis = 0)
--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/UpstreamRegistryTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/UpstreamRegistryTest.kt
@@ -99,6 +99,24 @@
         expectThat(registry.deregister(Deregistration(UpstreamId("u"), 10))).isFalse()
     }
 
+    // Guards against requests to an upstream that deregistered at a host which had not heard of it.
+    @Test
+    fun `a deregistration without a start applies to an announcement that was made before it`() {
+        expectThat(registry.deregister(Deregistration(UpstreamId("u"), null))).isTrue()
+        nowMillis += 1_000
+        expectThat(registry.record(upstream("u"), ageMillis = 1_500)).isEqualTo(RegistryUpdate.Ignored)
+        expectThat(registry.record(upstream("u", sequence = 2))).isEqualTo(RegistryUpdate.Ignored)
+        expectThat(registry.deregistrations).containsExactly(Deregistration(UpstreamId("u"), 10))
+        expectThat(registry.record(upstream("u", startedAtMillis = 11))).isEqualTo(RegistryUpdate.Changed)
+    }
+
+    @Test
+    fun `a deregistration without a start does not apply to a start that is announced later`() {
+        registry.deregister(Deregistration(UpstreamId("u"), null))
+        nowMillis += 1_000
+        expectThat(registry.record(upstream("u"), ageMillis = 500)).isEqualTo(RegistryUpdate.Changed)
+    }
+
     @Test
     fun `an upstream without announcements expires`() {
         registry.record(upstream("u"))
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamDissemination.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/UpstreamDissemination.kt
@@ -64,7 +64,8 @@
         val known = upstreams.find(deregistration.id)?.upstream
         val resolved = deregistration.copy(startedAtMillis = deregistration.startedAtMillis ?: known?.startedAtMillis)
         if (!upstreams.deregister(resolved)) return
-        repeated[resolved] = nowMillis() + DEREGISTRATION_REPEAT_MILLIS
+        // Without a start, a repetition might remove the upstream's next start under the same identifier.
+        if (resolved.startedAtMillis != null) repeated[resolved] = nowMillis() + DEREGISTRATION_REPEAT_MILLIS
         send(MeshMessage.Upstreams(emptyList(), listOf(resolved), relay = !core), CHANGE_FANOUT)
         remove(resolved, origin = "upstream")
     }
