--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/UpstreamRegistry.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/UpstreamRegistry.kt
@@ -16,7 +16,7 @@
 public const val UPSTREAM_EXPIRY_MILLIS: Long = 30_000
 
 /** Number of deregistrations kept, so that a delayed announcement does not register a stopped upstream again. */
-public const val MAX_DEREGISTRATIONS: Int = 1_024
+private const val MAX_DEREGISTRATIONS = 1_024
 
 /**
  * Announcement of an upstream.
@@ -83,7 +83,7 @@
     /** All upstreams that have neither deregistered nor expired. */
     public val upstreams: Collection<KnownUpstream>
 
-    /** The newest deregistration of each upstream, up to [MAX_DEREGISTRATIONS] of them. */
+    /** The newest deregistration of each upstream; the oldest ones are forgotten first. */
     public val deregistrations: List<Deregistration>
 
     /** Returns the upstream [id], or null when it is not among [upstreams]. */
@@ -95,7 +95,10 @@
         ageMillis: Long = 0,
     ): RegistryUpdate
 
-    /** Deregisters an upstream; returns whether the deregistration was not known yet. */
+    /**
+     * Deregisters an upstream; returns whether the deregistration was not known yet. Without a start, it applies to the
+     * start that is known or, if there is none, to one that was announced before the deregistration.
+     */
     public fun deregister(deregistration: Deregistration): Boolean
 
     /** Removes and returns the upstreams without an announcement for [UPSTREAM_EXPIRY_MILLIS]. */
