Read large bodies only as memory allows

Cause: each body was bounded, their sum was not. Beyond the direct memory each read waits for memory on the one event loop, and fails.

Change: bodies over 64 KiB share half of the JVM's direct memory. A connection is not read until its body's size is granted, in order of arrival, so the loop never waits for memory, nothing is refused, and small requests are not delayed. The decision, BodyMemory, has no network or clock.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -1,7 +1,7 @@
 /*
  * Connections from callers. Each connection processes one request at a time; pipelined messages are buffered until the
- * current response is complete. A request is dispatched once it has been read completely. The end of its connection is
- * reported immediately, also while a response is awaited.
+ * current response is complete. A request is dispatched once it has been read completely; a large one is read once
+ * there is memory for it. The end of its connection is reported immediately, also while a response is awaited.
  */
 package io.carawaytrack.gateway
 
@@ -76,6 +76,7 @@
 internal class CallerConnections(
     private val group: EventLoopGroup,
     private val events: CallerEvents,
+    private val bodyMemory: BodyMemory,
     private val nowMillis: () -> Long,
 ) {
     private val open = LinkedHashSet<CallerConnection>()
@@ -103,6 +104,9 @@
     /** Bytes of responses that have not been sent because their callers read slowly. */
     val unsentBytes: Long get() = open.sumOf { it.unsentBytes }
 
+    /** Bytes of requests that have not been received in full. */
+    val partialBodyBytes: Long get() = open.sumOf { it.partialBodyBytes }
+
     /** Closes connections that have been idle, or receiving one request, for longer than the idle timeout. */
     fun prune() = open.toList().forEach { it.prune(nowMillis(), events.limits()) }
 
@@ -124,6 +128,9 @@
         private var receiving = false
         private var lastUnsentBytes = 0L
 
+        private val bodyReservation = BodyReservation(owner.bodyMemory, channel, ::resumeReading)
+
+        val partialBodyBytes: Long get() = body?.readableBytes()?.toLong() ?: 0
         val unsentBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
 
         override fun channelActive(context: ChannelHandlerContext) {
@@ -134,9 +141,9 @@
             context: ChannelHandlerContext,
             message: Any,
         ) {
-            if (!responding) return read(message)
+            if (!responding && !bodyReservation.isAwaited) return read(message)
             pipelined.addLast(message)
-            if (pipelined.size > MAX_PIPELINED_MESSAGES) channel.close()
+            if (responding && pipelined.size > MAX_PIPELINED_MESSAGES) channel.close()
         }
 
         private fun read(message: Any) {
@@ -158,11 +165,22 @@
                 reject(rejectionStatus)
                 return false
             }
+            val length = HttpUtil.getContentLength(request, 0L)
+            if (length > SMALL_BODY_BYTES) bodyReservation.reserve(length)
+            if (bodyReservation.isAwaited) {
+                pipelined.addFirst(request)
+                return false
+            }
             if (HttpUtil.is100ContinueExpected(request)) sendContinue()
             head = request
             return true
         }
 
+        private fun resumeReading() {
+            phaseSinceMillis = owner.nowMillis()
+            while (!responding && !bodyReservation.isAwaited && pipelined.isNotEmpty()) read(pipelined.removeFirst())
+        }
+
         private fun sendContinue() {
             val interim =
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
@@ -181,14 +199,6 @@
             }
         }
 
-        /** Returns whether two parsers might disagree on the end of the body or on the host (request smuggling). */
-        private fun isAmbiguous(headers: HttpHeaders): Boolean {
-            val codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
-            val unknownCoding = codings.isNotEmpty() && !codings.single().equals("chunked", ignoreCase = true)
-            val lengthAndCoding = codings.isNotEmpty() && headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-            return codings.size > 1 || unknownCoding || lengthAndCoding || headers.getAll(HttpHeaderNames.HOST).size > 1
-        }
-
         private fun receiveContent(content: HttpContent) {
             val request = head
             if (request == null || content.decoderResult().isFailure) {
@@ -216,6 +226,10 @@
             }
             val fullBody = body ?: channel.alloc().compositeBuffer(MAX_BODY_PARTS).also { body = it }
             fullBody.addComponent(true, bytes)
+            // The size of a chunked body is not known before its end, so it may be as large as any.
+            if (fullBody.readableBytes() > SMALL_BODY_BYTES) {
+                bodyReservation.reserve(owner.events.limits().maxBodyBytes)
+            }
             return fullBody.readableBytes() <= owner.events.limits().maxBodyBytes
         }
 
@@ -292,8 +306,8 @@
         private fun responseSent() {
             listener = null
             responding = false
-            phaseSinceMillis = owner.nowMillis()
-            while (!responding && pipelined.isNotEmpty()) read(pipelined.removeFirst())
+            bodyReservation.release()
+            resumeReading()
         }
 
         fun prune(
@@ -324,6 +338,7 @@
             pipelined.clear()
             body?.release()
             body = null
+            bodyReservation.release()
             val lastListener = listener
             listener = null
             lastListener?.onCallerDisconnected()
@@ -361,3 +376,11 @@
             DecoderResult.failure(IllegalArgumentException("expected Content-Length or a chunked body, got both"))
     }
 }
+
+/** Returns whether two parsers might disagree on the end of the body or on the host (request smuggling). */
+private fun isAmbiguous(headers: HttpHeaders): Boolean {
+    val codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+    val unknownCoding = codings.isNotEmpty() && !codings.single().equals("chunked", ignoreCase = true)
+    val lengthAndCoding = codings.isNotEmpty() && headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+    return codings.size > 1 || unknownCoding || lengthAndCoding || headers.getAll(HttpHeaderNames.HOST).size > 1
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -50,12 +50,14 @@
  * @property zone availability zone of this host
  * @property retries limits on the retries that all hosts together may send to a service
  * @property rollouts limits on the exposure of requests to a bad version
+ * @property bodyMemoryBytes memory for the bodies of large requests together
  */
 public data class GatewaySettings(
     val callers: HostPort,
     val zone: ZoneName,
     val retries: RetrySettings,
     val rollouts: RolloutBounds = RolloutBounds(),
+    val bodyMemoryBytes: Long = defaultBodyMemoryBytes(),
 )
 
 /**
@@ -103,6 +105,9 @@
     /** Bytes of responses that have not been sent because their callers read slowly, also of finished requests. */
     public val unsentBytes: Long
 
+    /** Bytes of requests that have not been received in full. */
+    public val partialBodyBytes: Long
+
     /** Number of [unfinished] requests that wait for an upstream with free capacity. */
     public val waiting: Int
 
@@ -186,6 +191,7 @@
         CallerConnections(
             group,
             CallerEvents(::accept, ::refuseMalformed, { catalog?.limits ?: CallerLimits() }, { endsAtMillis != null }),
+            BodyMemory(settings.bodyMemoryBytes),
             nowMillis,
         )
     private val connections = UpstreamConnections(group, nowMillis)
@@ -202,6 +208,8 @@
 
     override val unsentBytes: Long get() = callers.unsentBytes
 
+    override val partialBodyBytes: Long get() = callers.partialBodyBytes
+
     override val waiting: Int get() = dispatcher.waiting
 
     override val limitedUpstreams: Map<PoolName, Int> get() = upstreams.limited()
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -51,14 +51,21 @@
 internal const val STREAM_HEAD = "HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nTransfer-Encoding: chunked\n\n"
 
 /** A gateway and its fake upstreams, started for each test. */
-internal abstract class GatewayFixture {
+internal abstract class GatewayFixture(
+    bodyMemoryBytes: Long = defaultBodyMemoryBytes(),
+) {
     private val group = NioEventLoopGroup(1)
     protected val callers = ServerSocket(0).use { HostPort("127.0.0.1", it.localPort) }
     protected val upstreams = ArrayList<FakeUpstream>()
     protected val crashesRecorded = AtomicInteger()
     protected val gateway =
         Gateway(
-            GatewaySettings(callers, ZoneName("a"), RetrySettings(retryRatio = 1.0, minRetries = 100)),
+            GatewaySettings(
+                callers,
+                ZoneName("a"),
+                RetrySettings(retryRatio = 1.0, minRetries = 100),
+                bodyMemoryBytes = bodyMemoryBytes,
+            ),
             headerNames,
             group,
             FleetKnowledge(upstreams = { emptyList() }, rolloutElapsedMillis = { 0 }),
