Split the callers' connections and the gateway by what each file holds

What connections report moves to CallerEvents, where a request ends to RequestFraming, and what a gateway is given at its start to GatewaySettings. No change of behaviour.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -21,7 +21,6 @@
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -29,13 +28,10 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -43,36 +39,12 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 
-private const val MAX_LINE_BYTES = 8_192
-private const val MAX_CHUNK_BYTES = 65_536
-
 /** Maximum number of messages that a caller may pipeline while a response is awaited. */
 private const val MAX_PIPELINED_MESSAGES = 256
 
 /** Unsent bytes for a slow caller at which reading from its upstream resumes (low) and pauses (high). */
 private val waterMark = WriteBufferWaterMark(64 * 1024, 256 * 1024)
 
-/**
- * Receives requests and supplies the state that connections depend on.
- *
- * @property malformed called for a request that is rejected with the given status before it is matched to a route
- */
-internal class CallerEvents(
-    val request: (HttpRequest, ByteBuf, CallerConnection) -> Unit,
-    val malformed: (CallerConnection, HttpResponseStatus) -> Unit,
-    val limits: () -> CallerLimits,
-    val draining: () -> Boolean,
-)
-
-/** Receives events of the caller while its request is processed. */
-internal interface CallerListener {
-    /** Handles the closing of the connection by the caller. */
-    fun onCallerDisconnected()
-
-    /** Handles a change of the connection to [writable], or to unwritable because the caller reads too slowly. */
-    fun onCallerWritable(writable: Boolean)
-}
-
 internal class CallerConnections(
     private val group: EventLoopGroup,
     private val events: CallerEvents,
@@ -361,26 +333,3 @@
 }
 
 internal typealias CallerConnection = CallerConnections.CallerConnection
-
-/** Rejects requests with both Content-Length and a chunked body, whose end two parsers may see in different places. */
-private class UnambiguousRequestDecoder(
-    maxHeaderBytes: Int,
-) : HttpRequestDecoder(
-        HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_LINE_BYTES)
-            .setMaxHeaderSize(maxHeaderBytes)
-            .setMaxChunkSize(MAX_CHUNK_BYTES),
-    ) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
-        message.decoderResult =
-            DecoderResult.failure(IllegalArgumentException("expected Content-Length or a chunked body, got both"))
-    }
-}
-
-/** Returns whether two parsers might disagree on the end of the body or on the host (request smuggling). */
-private fun isAmbiguous(headers: HttpHeaders): Boolean {
-    val codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
-    val unknownCoding = codings.isNotEmpty() && !codings.single().equals("chunked", ignoreCase = true)
-    val lengthAndCoding = codings.isNotEmpty() && headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-    return codings.size > 1 || unknownCoding || lengthAndCoding || headers.getAll(HttpHeaderNames.HOST).size > 1
-}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Gateway.kt
@@ -11,21 +11,14 @@
 import io.carawaytrack.fleet.CatalogRoute
 import io.carawaytrack.fleet.CrashReport
 import io.carawaytrack.fleet.Deregistration
-import io.carawaytrack.fleet.FleetRollout
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.fleet.KnownUpstream
-import io.carawaytrack.fleet.RolloutBounds
 import io.carawaytrack.fleet.RolloutTally
 import io.carawaytrack.fleet.RouteMatch
 import io.carawaytrack.fleet.UpstreamLoad
-import io.carawaytrack.limits.RetrySettings
 import io.carawaytrack.model.ErrorKind
-import io.carawaytrack.model.Execution
-import io.carawaytrack.model.HostPort
-import io.carawaytrack.model.OrganisationName
 import io.carawaytrack.model.PoolName
-import io.carawaytrack.model.ZoneName
 import io.carawaytrack.model.notRun
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
@@ -43,60 +36,6 @@
 /** Retry-After when no upstream is available: a crashed one has restarted by then. */
 internal const val NO_UPSTREAM_RETRY_AFTER_MILLIS = 800L
 
-/**
- * Configures a gateway.
- *
- * @property callers address on which callers are accepted
- * @property zone availability zone of this host
- * @property retries limits on the retries that all hosts together may send to a service
- * @property rollouts limits on the exposure of requests to a bad version
- * @property bodyMemoryBytes memory for the bodies of large requests together
- */
-public data class GatewaySettings(
-    val callers: HostPort,
-    val zone: ZoneName,
-    val retries: RetrySettings,
-    val rollouts: RolloutBounds = RolloutBounds(),
-    val bodyMemoryBytes: Long = defaultBodyMemoryBytes(),
-)
-
-/**
- * Describes a request that has ended.
- *
- * @property failure null for a complete response from an upstream
- * @property firstByteMillis time to the first byte of a response; null when there was none
- */
-public data class EndedRequest(
-    val organisation: OrganisationName?,
-    val route: String,
-    val failure: ErrorKind?,
-    val execution: Execution,
-    val tookMillis: Long,
-    val firstByteMillis: Long?,
-)
-
-/**
- * Receives the gateway's measurements; all calls are made on the event loop.
- *
- * @property requestEnded called for each request that matched a route
- * @property attemptEnded called for each attempt with its upstream and whether it succeeded
- */
-public class GatewayMeters(
-    public val requestEnded: (EndedRequest) -> Unit = {},
-    public val attemptEnded: (FleetUpstream, Boolean) -> Unit = { _, _ -> },
-)
-
-/**
- * Supplies what this host knows of its fleet at the time of a call.
- *
- * @property upstreams the announced upstreams
- * @property rolloutElapsedMillis time since a roll-out began
- */
-public class FleetKnowledge(
-    public val upstreams: () -> Collection<KnownUpstream>,
-    public val rolloutElapsedMillis: (FleetRollout) -> Long,
-)
-
 /** Serves callers; must only be used on its event loop. */
 public interface Gateway : AutoCloseable {
     /** Number of requests whose response is not complete. */
