Wait for conditions in place of times in three tests

Three new tests waited for a fixed time, which a slow machine may exceed and a fast one wastes. The truncated answer has been read once later requests are answered; uploads have settled once small calls see no further byte; and the peers of a frozen host close their links as their clocks advance. What is checked stays the same.

Measured: FaultyResponseTest, LargeBodiesTest and MeshFormationTest pass, with formatter and linter.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
@@ -25,8 +25,6 @@
 /** Size of a body that fits neither the buffers of its sender nor those of its receiver. */
 private const val LONG_BODY_BYTES = 16 * 1024 * 1024
 
-private const val PART_READ_MILLIS = 300L
-
 /** Time to resume a stream; the first request of a process takes over a second on a busy machine. */
 private const val RESUME_MILLIS = 2_500
 
@@ -153,8 +151,8 @@
             FakeUpstream(readsBodies = false) { _, out, _ ->
                 out.send(UNFRAMED_HEAD)
                 out.raw(if (stream) STREAM_BEGIN else "do")
-                // The gateway reads this part before the reset.
-                Thread.sleep(PART_READ_MILLIS)
+                // The gateway has read this part before the reset, once it has answered requests that came later.
+                repeat(2) { exchange(request("/nothing/x")) }
                 false
             }
         val sound =
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/LargeBodiesTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/LargeBodiesTest.kt
@@ -18,8 +18,8 @@
 private const val BODY_BYTES = 2_000_000
 private const val CALLERS = 10
 
-/** Time in which a host without a limit reads what the callers have sent. */
-private const val READ_MILLIS = 300L
+/** Number of small calls without a further byte read after which a host has read what it is going to. */
+private const val SETTLED_CALLS = 50
 
 internal class LargeBodiesTest : GatewayFixture(bodyMemoryBytes = MAX_BYTES) {
     private val uploaders = Executors.newCachedThreadPool()
@@ -41,14 +41,24 @@
                 val caller = FakeCaller(callers)
                 CompletableFuture.supplyAsync({ caller.use { it.upload(first, second, halfSent) } }, uploaders)
             }
-        Thread.sleep(READ_MILLIS)
-        repeat(CALLERS) { expectThat(exchange(request("/lookup/y"))?.body).isEqualTo("done") }
+        awaitSettled()
         // Those that wait hold a small body and what was read with its end.
         onLoop { expectThat(gateway.partialBodyBytes).isLessThanOrEqualTo(MAX_BYTES + CALLERS * 2L * SMALL_BODY_BYTES) }
         halfSent.countDown()
         answers.forEach { expectThat(it.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("done") }
     }
 
+    private fun awaitSettled() {
+        var readBytes = 0L
+        var unchangedCalls = 0
+        while (unchangedCalls < SETTLED_CALLS || readBytes == 0L) {
+            expectThat(exchange(request("/lookup/y"))?.body).isEqualTo("done")
+            val before = readBytes
+            onLoop { readBytes = gateway.partialBodyBytes }
+            unchangedCalls = if (readBytes == before) unchangedCalls + 1 else 0
+        }
+    }
+
     private fun FakeCaller.upload(
         first: String,
         second: String,
--- a/mesh/src/test/kotlin/io/carawaytrack/mesh/MeshFormationTest.kt
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/MeshFormationTest.kt
@@ -29,6 +29,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 private const val TIMEOUT_SECONDS = 60L
 
@@ -48,6 +49,7 @@
         private val data: Path?,
         bootstrap: Boolean,
     ) {
+        private val advancedMillis = AtomicLong()
         val group = NioEventLoopGroup(1)
         val views = LinkedBlockingQueue<FleetView>()
         val upstreams = LinkedBlockingQueue<String>()
@@ -66,7 +68,7 @@
                     upstreamChanged = { upstreams += it.upstream.id.value },
                     upstreamRemoved = { upstreams += "gone ${it.id}" },
                 ),
-            ) { System.nanoTime() / 1_000_000 }
+            ) { System.nanoTime() / 1_000_000 + advancedMillis.get() }
 
         init {
             group.next().scheduleAtFixedRate({ mesh.tick() }, 0, MESH_TICK_MILLIS, TimeUnit.MILLISECONDS)
@@ -92,13 +94,19 @@
             group.next().submit(action).get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
         }
 
+        /** Closes all links, as if nothing had been received on them for longer than the timeout. */
+        fun closeSilentLinks() {
+            advancedMillis.addAndGet(LINK_TIMEOUT_MILLIS + 1)
+            onLoop { mesh.tick() }
+        }
+
         private fun savedUpstreams() = readRecentState(checkNotNull(data))?.upstreams.orEmpty()
 
         fun awaitSaved(upstream: FleetUpstream) {
             val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)
             while (savedUpstreams().none { it.id == upstream.id }) {
                 check(System.nanoTime() < endNanos) { "expected $address to save ${upstream.id}" }
-                Thread.sleep(MESH_TICK_MILLIS)
+                onLoop {}
             }
         }
 
@@ -211,8 +219,7 @@
         val frozen = hosts.last()
         val thaw = CountDownLatch(1)
         frozen.group.next().execute { thaw.await() }
-        // The other hosts have closed their links to it by then.
-        Thread.sleep(2 * LINK_TIMEOUT_MILLIS)
+        (hosts - frozen).forEach { it.closeSilentLinks() }
         hosts.first().run { onLoop { mesh.deregister(Deregistration(upstream.id, null)) } }
         thaw.countDown()
         frozen.expectUpstreamEvent("gone u")
