End a resumed stream only where the received events allow it

Callers of a resumable stream saw it as complete before its last event: one upstream broke off in the middle of an event, and the next one ended the stream at once, with no event, with the last event once more or with earlier events only. The framing of that second response is in order, so the response was complete.

EventScanner forgot the incomplete event, and that the resuming upstream had not come as far as the caller. It now keeps both: an event of which a part was discarded is due until a newer event arrives, and an upstream that has only repeated earlier events has not reached the end. Such an attempt is broken; another upstream resumes the stream, or the caller's response breaks off.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
@@ -34,6 +34,15 @@
     /** Whether no incomplete event is buffered. */
     val isAtBoundary: Boolean get() = !partial.isReadable
 
+    /** Whether a part of the event after the last forwarded one was discarded, so that the stream has not ended yet. */
+    private var isNextEventDue = false
+
+    /** Whether the current upstream has so far only repeated events that precede the last one forwarded. */
+    private var isBehind = false
+
+    /** Whether the stream may end here, as far as the received events show. */
+    val mayEnd: Boolean get() = isAtBoundary && !isNextEventDue && !isBehind
+
     /**
      * Appends [bytes], which it releases, and returns the events that are now complete, to be released by the caller.
      */
@@ -54,8 +63,11 @@
         return withoutDuplicates(complete, allocator)
     }
 
-    /** Discards an incomplete event after its upstream failed. */
+    /** Discards an incomplete event after its upstream failed; another one resumes the stream with that event. */
     fun discardPartial() {
+        // Without an identifier to resume from, the next upstream begins a stream of its own.
+        if (!isAtBoundary && !isBehind && lastId != null) isNextEventDue = true
+        isBehind = false
         partial.release()
         partial = Unpooled.EMPTY_BUFFER
         corrupted = false
@@ -106,9 +118,11 @@
             val end = endOfFirstEvent(complete, start)
             val id = idWithin(complete, start, end)
             val duplicate = isDuplicate(id)
+            isBehind = duplicate && events > 0 && id != lastId
             if (duplicate && filtered == null) filtered = allocator.buffer().writeBytes(complete, first, start - first)
             if (!duplicate) {
                 recordId(id)
+                isNextEventDue = false
                 events++
                 filtered?.writeBytes(complete, start, end - start)
             }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
@@ -95,7 +95,7 @@
 
     /** Returns whether the response with [head], whose body has ended, may be sent to the caller. */
     fun isComplete(head: HttpResponse): Boolean = when {
-        isStream(head) -> scanner?.isAtBoundary != false && head.isSigned(headerNames)
+        isStream(head) -> scanner?.mayEnd != false && head.isSigned(headerNames)
         // An error response from the upstream that was to resume a stream must not be appended to the stream.
         started -> !request.route.streaming
         else -> !head.isSuccess() || head.isSigned(headerNames)
