Take a stream that may run once for broken off if it ends in an event

Callers of a stream that may run only once got it as complete although it ended in the middle of an event, whatever the framing: a length or a last chunk that are in order, or the orderly end of a connection without either.

Only streams that may be resumed were scanned for events, so nothing looked at the end of the others. EventBoundary follows the last bytes of what is forwarded, and a stream is complete only after an empty line. Its bytes are forwarded as they arrive, as before. What was received in the same read is now sent before the connection is closed, also for resumable streams, whose callers go on after the last event that they have.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
@@ -13,6 +13,13 @@
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private val ID_FIELD = "id:".encodeToByteArray()
 
+/** Two line ends at the end of an event, as the last bytes received. */
+private const val EMPTY_LINE = 0x0A0A
+private const val EMPTY_LINE_MASK = 0xFFFF
+private const val EMPTY_LINE_WITH_RETURN = 0x0A0D0A
+private const val EMPTY_LINE_WITH_RETURN_BYTES = 3
+private const val EMPTY_LINE_WITH_RETURN_MASK = 0xFFFFFF
+
 /** Maximum size of an incomplete event that is buffered. */
 private const val MAX_EVENT_BYTES = 256 * 1024
 
@@ -178,3 +185,22 @@
         end: Int,
     ): Boolean = end - start > ID_FIELD.size && ID_FIELD.indices.all { buffer.getByte(start + it) == ID_FIELD[it] }
 }
+
+/** Tracks whether a stream whose bytes are forwarded as they arrive is at the end of an event. */
+internal class EventBoundary {
+    private var lastBytes = EMPTY_LINE
+
+    /** Whether no event has begun since the last one ended. */
+    val isReached: Boolean
+        get() =
+            lastBytes and EMPTY_LINE_MASK == EMPTY_LINE ||
+                lastBytes and EMPTY_LINE_WITH_RETURN_MASK == EMPTY_LINE_WITH_RETURN
+
+    /** Follows [bytes], the next ones of the stream. */
+    fun append(bytes: ByteBuf) {
+        val first = maxOf(bytes.readerIndex(), bytes.writerIndex() - EMPTY_LINE_WITH_RETURN_BYTES)
+        for (index in first until bytes.writerIndex()) {
+            lastBytes = (lastBytes shl Byte.SIZE_BITS) or bytes.getUnsignedByte(index).toInt()
+        }
+    }
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
@@ -26,6 +26,7 @@
     private val headerNames: HeaderNames,
 ) {
     private val scanner = if (request.route.retryable) EventScanner(request.lastEventId()) else null
+    private val boundary = EventBoundary()
     private var buffered: CompositeByteBuf? = null
 
     /** Whether the head of a response has been sent to the caller. */
@@ -65,6 +66,7 @@
             return valid
         }
         if (!started) start(head)
+        boundary.append(events)
         caller.write(events)
         return true
     }
@@ -95,7 +97,7 @@
 
     /** Returns whether the response with [head], whose body has ended, may be sent to the caller. */
     fun isComplete(head: HttpResponse): Boolean = when {
-        isStream(head) -> scanner?.mayEnd != false && head.isSigned(headerNames)
+        isStream(head) -> boundary.isReached && scanner?.mayEnd != false && head.isSigned(headerNames)
         // An error response from the upstream that was to resume a stream must not be appended to the stream.
         started -> !request.route.streaming
         else -> !head.isSuccess() || head.isSigned(headerNames)
@@ -123,6 +125,7 @@
     fun endWith(reply: LocalReply) {
         if (started) {
             reply.content.release()
+            caller.flush()
             caller.abort()
         } else {
             caller.respond(HttpResponseStatus.valueOf(reply.status), reply.headers, reply.content)
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/BrokenOffResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/BrokenOffResponseTest.kt
@@ -144,10 +144,11 @@
     }
 
     private val inOneStream =
-        listOf("draft").flatMap { route ->
+        listOf("draft", "oneoff").flatMap { route ->
             val path = "/$route/x"
-            val part = ""
-            val partStatus = "502"
+            // A stream that may run once is forwarded as it arrives.
+            val part = if (route == "oneoff") HALF_EVENT else ""
+            val partStatus = if (route == "oneoff") "200" else "502"
             Framing.entries.flatMap { framing ->
                 val sent = { body: String, end: End -> listOf(Sent(framing, body, end)) }
                 listOf(
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/EventScannerTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EventScannerTest.kt
@@ -52,4 +52,28 @@
             expectThat(scanner.isAtBoundary).isEqualTo(case.atBoundary)
         }
     }
+
+    private class BoundaryCase(
+        val received: List<String>,
+        val reached: Boolean,
+    )
+
+    @TestFactory
+    fun `a stream that is forwarded as it arrives is at a boundary after an empty line`(): List<DynamicTest> = listOf(
+        BoundaryCase(emptyList(), reached = true),
+        BoundaryCase(listOf("id: 1\n\n"), reached = true),
+        BoundaryCase(listOf("id: 1\n", "\n"), reached = true),
+        BoundaryCase(listOf("id: 1\r\n\r", "\n"), reached = true),
+        BoundaryCase(listOf("id: 1\r", "\n", "\r", "\n"), reached = true),
+        BoundaryCase(listOf("id: 1\n"), reached = false),
+        BoundaryCase(listOf("id: 1\n\n", "i"), reached = false),
+        BoundaryCase(listOf("id: 1\r\n\r"), reached = false),
+        BoundaryCase(listOf("id: 1\n\ndata: 2\n"), reached = false),
+    ).map { case ->
+        dynamicTest(case.received.toString()) {
+            val boundary = EventBoundary()
+            case.received.forEach { boundary.append(Unpooled.copiedBuffer(it, Charsets.US_ASCII)) }
+            expectThat(boundary.isReached).isEqualTo(case.reached)
+        }
+    }
 }
