--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
@@ -13,6 +13,13 @@
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private val ID_FIELD = "id:".encodeToByteArray()
 
+/** Two line ends at the end of an event, as the last bytes received. */
+private const val EMPTY_LINE = 0x0A0A
+private const val EMPTY_LINE_MASK = 0xFFFF
+private const val EMPTY_LINE_WITH_RETURN = 0x0A0D0A
+private const val EMPTY_LINE_WITH_RETURN_BYTES = 3
+private const val EMPTY_LINE_WITH_RETURN_MASK = 0xFFFFFF
+
 /** Maximum size of an incomplete event that is buffered. */
 private const val MAX_EVENT_BYTES = 256 * 1024
 
@@ -34,6 +41,15 @@
     /** Whether no incomplete event is buffered. */
     val isAtBoundary: Boolean get() = !partial.isReadable
 
+    /** Whether a part of the event after the last forwarded one was discarded, so that the stream has not ended yet. */
+    private var isNextEventDue = false
+
+    /** Whether the current upstream has so far only repeated events that precede the last one forwarded. */
+    private var isBehind = false
+
+    /** Whether the stream may end here, as far as the received events show. */
+    val mayEnd: Boolean get() = isAtBoundary && !isNextEventDue && !isBehind
+
     /**
      * Appends [bytes], which it releases, and returns the events that are now complete, to be released by the caller.
      */
@@ -54,8 +70,11 @@
         return withoutDuplicates(complete, allocator)
     }
 
-    /** Discards an incomplete event after its upstream failed. */
+    /** Discards an incomplete event after its upstream failed; another one resumes the stream with that event. */
     fun discardPartial() {
+        // Without an identifier to resume from, the next upstream begins a stream of its own.
+        if (!isAtBoundary && !isBehind && lastId != null) isNextEventDue = true
+        isBehind = false
         partial.release()
         partial = Unpooled.EMPTY_BUFFER
         corrupted = false
@@ -106,9 +125,11 @@
             val end = endOfFirstEvent(complete, start)
             val id = idWithin(complete, start, end)
             val duplicate = isDuplicate(id)
+            isBehind = duplicate && events > 0 && id != lastId
             if (duplicate && filtered == null) filtered = allocator.buffer().writeBytes(complete, first, start - first)
             if (!duplicate) {
                 recordId(id)
+                isNextEventDue = false
                 events++
                 filtered?.writeBytes(complete, start, end - start)
             }
@@ -164,3 +185,22 @@
         end: Int,
     ): Boolean = end - start > ID_FIELD.size && ID_FIELD.indices.all { buffer.getByte(start + it) == ID_FIELD[it] }
 }
+
+/** Tracks whether a stream whose bytes are forwarded as they arrive is at the end of an event. */
+internal class EventBoundary {
+    private var lastBytes = EMPTY_LINE
+
+    /** Whether no event has begun since the last one ended. */
+    val isReached: Boolean
+        get() =
+            lastBytes and EMPTY_LINE_MASK == EMPTY_LINE ||
+                lastBytes and EMPTY_LINE_WITH_RETURN_MASK == EMPTY_LINE_WITH_RETURN
+
+    /** Follows [bytes], the next ones of the stream. */
+    fun append(bytes: ByteBuf) {
+        val first = maxOf(bytes.readerIndex(), bytes.writerIndex() - EMPTY_LINE_WITH_RETURN_BYTES)
+        for (index in first until bytes.writerIndex()) {
+            lastBytes = (lastBytes shl Byte.SIZE_BITS) or bytes.getUnsignedByte(index).toInt()
+        }
+    }
+}
