Decode each response by the method of the awaited request

Cause: HttpClientCodec pairs each response with the oldest request's method, and any response, interim or second, takes one from that queue. Class of fault: requests and responses paired by count.

Change: a decoder that is told which request is awaited, in place of the codec's queue. A response to another request is no longer skipped on a connection that has carried a HEAD request, since only that request would show where it ends.

Evidence: BodilessResponseTest on the code before: 2 of 3 failed (after 100 and after 103: 504 in place of 200).

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -17,9 +17,9 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
@@ -50,18 +50,9 @@
 /** Number of requests without a success that a connection remembers; a repeated response follows within a few. */
 private const val MAX_UNSUCCESSFUL_REQUESTS = 16
 
-private const val MAX_LINE_BYTES = 8_192
-private const val MAX_HEADER_BYTES = 65_536
-private const val MAX_CHUNK_BYTES = 65_536
 private const val MILLIS_PER_SECOND = 1_000L
 private const val KEEP_ALIVE = "Keep-Alive"
 
-private val decoderConfig =
-    HttpDecoderConfig()
-        .setMaxInitialLineLength(MAX_LINE_BYTES)
-        .setMaxHeaderSize(MAX_HEADER_BYTES)
-        .setMaxChunkSize(MAX_CHUNK_BYTES)
-
 internal class UpstreamConnections(
     private val group: EventLoopGroup,
     private val nowMillis: () -> Long,
@@ -162,7 +153,8 @@
         override fun initChannel(channel: SocketChannel) {
             connection.channel = channel
             channel.pipeline().addLast(
-                HttpClientCodec(decoderConfig, false, false),
+                connection.decoder,
+                HttpRequestEncoder(),
                 connection,
             )
         }
@@ -177,6 +169,7 @@
         val address: HostPort,
     ) : ChannelInboundHandlerAdapter() {
         lateinit var channel: Channel
+        val decoder = UpstreamResponseDecoder()
         var idleSinceMillis = 0L
             private set
         private var keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS
@@ -191,6 +184,7 @@
         private var interimResponses = 0
         private var skippedBytes = 0
         private val unsuccessfulRequests = ArrayDeque<String>()
+        private var carriedHead = false
 
         fun isUsable(now: Long) = channel.isActive && now - idleSinceMillis < keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS
 
@@ -214,6 +208,9 @@
             written = false
             interimResponses = 0
             skippedBytes = 0
+            val method = next.request.method()
+            carriedHead = carriedHead || method == HttpMethod.HEAD
+            decoder.await(method)
             next.attachTo(channel)
             channel.config().isAutoRead = true
             channel.writeAndFlush(next.request).addListener { sent ->
@@ -269,6 +266,8 @@
                 )
             if (ignoringResponse) {
                 if (!informational) reusable = false
+                // Only the request that it belongs to would show whether its body follows.
+                if (!informational && carriedHead) return closeAsBroken()
                 if (informational && ++interimResponses > MAX_INTERIM_RESPONSES) closeAsBroken()
                 return
             }
