Close the disk when a folder can't be opened or initialised

What callers see: while fewer voters than required are members, each change is refused with "expected at least N voters". A host whose disk is full at the moment at which its folder is initialised stays one of the missing voters with room again: it logs storage_failed each 0.7 s, "expected to lock ..., but it is locked by another process or disk".

Cause: CoreMember.withDisk opened the disk, which locks the folder, and gave it to a step that could fail. Only some failures closed the disk. When clearing or initialising the folder failed, nobody did, and each later attempt found the folder locked by this process. A folder is initialised at the first start and whenever a removed replica joins again, which is what follows when a full disk makes a member silent for 2 s.

Change: the folder and its replica are one class, ReplicaFolder, and the attempt that opened a disk closes it unless a replica has taken it.

--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -1,25 +1,18 @@
 /*
- * This host's copy of the replicated state: its data folder, its replica of the log, and the membership changes that it
- * makes as the leader. A group forms and repairs itself without an operator: a host with an empty disk requests to join
- * under a new identity, and the leader replaces members that lost their disk or are unresponsive by such replicas.
+ * This host's copy of the replicated state: its replica of the log, and the membership changes that it makes as the
+ * leader. A group forms and repairs itself without an operator: a host with an empty disk requests to join under a new
+ * identity, and the leader replaces members that lost their disk or are unresponsive by such replicas.
  */
 package io.carawaytrack.mesh
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.andThen
-import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
-import com.github.michaelbull.result.mapError
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.carawaytrack.consensus.GroupReplica
 import io.carawaytrack.consensus.MemberChange
-import io.carawaytrack.consensus.ReplicaGroup
-import io.carawaytrack.consensus.ReplicaSettings
 import io.carawaytrack.consensus.ReplicaStatus
-import io.carawaytrack.consensus.openReplica
-import io.carawaytrack.fleet.FleetState
 import io.carawaytrack.fleet.FleetView
 import io.carawaytrack.model.ErrorKind
 import io.carawaytrack.model.Failure
@@ -27,11 +20,7 @@
 import io.carawaytrack.model.NodeId
 import io.carawaytrack.model.notRun
 import io.carawaytrack.storage.Disk
-import io.carawaytrack.storage.FolderIdentity
 import io.carawaytrack.storage.StorageFailure
-import io.carawaytrack.storage.clearFolder
-import io.carawaytrack.storage.folderIdentity
-import io.carawaytrack.storage.initialiseFolder
 import io.carawaytrack.storage.openFileDisk
 import io.carawaytrack.telemetry.event
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -42,40 +31,13 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import java.nio.file.Path
-import java.security.SecureRandom
-import java.util.concurrent.Executors
-import java.util.concurrent.TimeUnit
-import kotlin.random.Random
+import java.util.concurrent.ScheduledExecutorService
 
 private val logger = KotlinLogging.logger {}
 
-private const val CLUSTER_ID = "carawaytrack"
-
-/** Marks the folder of the bootstrap node, so that it bootstraps the group again if it restarts at once. */
-private const val BOOTSTRAP_MARKER_FILE = "founder"
-
-/** Delay before a failed folder is reopened: long enough not to overload a failing disk. */
-private const val REOPEN_DELAY_MILLIS = 700L
-
 /** Time for which a join request is valid: several of the intervals at which it is repeated. */
 private const val JOIN_VALID_MILLIS = 1_500L
 
-/** Maximum size of a command: the largest document that an operator may send, uncompressed. */
-private const val MAX_COMMAND_BYTES = 4 * 1024 * 1024
-
-/** The heartbeat interval keeps idle hosts cheap; the election timeout is well below the time to apply a change. */
-private val replicaSettings =
-    ReplicaSettings(
-        electionTimeoutMillis = 1_000,
-        heartbeatMillis = 200,
-        snapshotEveryEntries = 500,
-        snapshotEveryBytes = 4L * 1024 * 1024,
-        keptEntries = 100,
-        keptBytes = 1024L * 1024,
-        maxCommandBytes = MAX_COMMAND_BYTES,
-        maxQueued = 2_048,
-    )
-
 /**
  * Settings and callbacks of a [CoreMember].
  *
@@ -83,6 +45,7 @@
  * configured number of lost hosts
  * @property publish receives each new view on the replica's thread
  * @property onLoop runs a task on the event loop
+ * @property openDisk opens and locks [folder]
  */
 internal class CoreSetup(
     val folder: Path,
@@ -92,6 +55,7 @@
     val publish: (FleetView) -> Unit,
     val nowMillis: () -> Long,
     val onLoop: (() -> Unit) -> Unit,
+    val openDisk: () -> Result<Disk, StorageFailure> = { openFileDisk(folder) },
 )
 
 /** Returns whether the replica has received anything from a leader; otherwise it may join under its identity. */
@@ -111,20 +75,18 @@
 
 internal class CoreMember(
     private val setup: CoreSetup,
+    storage: ScheduledExecutorService = storageThread(),
 ) : AutoCloseable {
-    private val storage = Executors.newSingleThreadScheduledExecutor { Thread(it, "storage").apply { isDaemon = true } }
+    private val folder = ReplicaFolder(setup, storage)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Unconfined)
     private val joinRequestedAtMillis = HashMap<NodeId, Long>()
     private var changeInProgress = false
     private var renewing = false
 
-    @Volatile
-    private var replica: GroupReplica? = null
+    private val replica: GroupReplica? get() = folder.replica
 
     /** Whether the folder already has an identity; then this host neither bootstraps a group nor joins as a new one. */
-    @Volatile
-    var initialised: Boolean? = null
-        private set
+    val initialised: Boolean? get() = folder.initialised
 
     val status: ReplicaStatus? get() = replica?.status()
 
@@ -136,17 +98,13 @@
         }
 
     /** Opens the replica in the folder, if there is one. */
-    fun open() = storage.execute { withDisk(::openExisting) }
+    fun open() = folder.open()
 
     /** Initialises the empty folder; with [bootstrap], as the first member of a new group. */
-    fun initialise(bootstrap: Boolean) {
-        if (initialised != false) return
-        initialised = true
-        storage.execute { withDisk { initialiseAndOpen(it, bootstrap) } }
-    }
+    fun initialise(bootstrap: Boolean) = folder.initialise(bootstrap)
 
     /** Saves [recent] for the next start, without waiting for the disk. */
-    fun save(recent: RecentState) = storage.execute { saveRecentState(setup.folder, recent) }
+    fun save(recent: RecentState) = folder.save(recent)
 
     fun receive(message: MeshMessage.Replication) {
         val open = replica ?: return
@@ -216,12 +174,7 @@
             mapOf("replica" to node.value, "reason" to "removed from the group"),
             Level.WARN,
         )
-        replica = null
-        storage.execute {
-            open.close()
-            withDisk { disk -> clearFolder(disk).andThen { initialiseAndOpen(disk, bootstrap = false) } }
-            renewing = false
-        }
+        folder.renew(open) { renewing = false }
     }
 
     /** Makes the next membership change, if this host leads and one is needed; called at a fixed interval. */
@@ -253,86 +206,9 @@
         scope.launch { done(work(open)) }
     }
 
-    private fun withDisk(use: (Disk) -> Result<Unit, StorageFailure>) {
-        openFileDisk(setup.folder).andThen(use).onFailure { failure ->
-            val fields = mapOf("folder" to setup.folder.toString(), "reason" to failure.detail)
-            logger.event("storage_failed", fields, Level.WARN)
-            scheduleReopen()
-        }
-    }
-
-    private fun scheduleReopen() {
-        storage.schedule({ withDisk(::openExisting) }, REOPEN_DELAY_MILLIS, TimeUnit.MILLISECONDS)
-    }
-
-    private fun openExisting(disk: Disk): Result<Unit, StorageFailure> = folderIdentity(disk).map { identity ->
-        initialised = identity != null
-        if (identity != null) openReplica(disk, identity) else disk.close()
-    }
-
-    private fun initialiseAndOpen(
-        disk: Disk,
-        bootstrap: Boolean,
-    ): Result<Unit, StorageFailure> {
-        val incarnation = SecureRandom().nextLong()
-        val node = NodeId("${setup.address}/${incarnation.toULong().toString(radix = 36)}")
-        val identity = FolderIdentity(CLUSTER_ID, node, incarnation)
-        return clearFolder(disk).andThen { initialiseFolder(disk, identity) }.map {
-            if (bootstrap) disk.replace(BOOTSTRAP_MARKER_FILE, ByteArray(0))
-            logger.event("folder_initialised", mapOf("replica" to node.value, "founding" to bootstrap))
-            openReplica(disk, identity)
-        }
-    }
-
-    private fun openReplica(
-        disk: Disk,
-        identity: FolderIdentity,
-    ) {
-        val bootstrapped = disk.read(BOOTSTRAP_MARKER_FILE) != null
-        replica =
-            openReplica(
-                group =
-                    ReplicaGroup(
-                        CLUSTER_ID,
-                        identity.node,
-                        if (bootstrapped) listOf(identity.node) else emptyList(),
-                    ),
-                disk = disk,
-                stateMachine = FleetState(setup.publish),
-                send = { to, payload -> setup.send(identity.node, to, payload) },
-                nowMillis = setup.nowMillis,
-                random = Random(SecureRandom().nextLong()),
-                onHalt = ::handleHalt,
-                settings = replicaSettings,
-            ).mapError { failure ->
-                val fields = mapOf("replica" to identity.node.value, "reason" to failure.detail)
-                logger.event("replica_not_opened", fields, Level.WARN)
-                disk.close()
-                scheduleReopen()
-            }.getOrElse { return }
-        logger.event("replica_opened", mapOf("replica" to identity.node.value, "founder" to bootstrapped))
-    }
-
-    /** Reopens the folder after a storage failure; until then this host neither votes nor acknowledges. */
-    private fun handleHalt(failure: Failure) {
-        if (failure.kind == ErrorKind.ShuttingDown) return
-        logger.event("replica_halted", mapOf("reason" to failure.detail), Level.WARN)
-        val halted = replica
-        replica = null
-        storage.schedule(
-            {
-                halted?.close()
-                withDisk(::openExisting)
-            },
-            REOPEN_DELAY_MILLIS,
-            TimeUnit.MILLISECONDS,
-        )
-    }
-
     override fun close() {
         scope.cancel()
-        storage.shutdownNow()
-        replica?.close()
+        folder.close()
     }
 }
 
