Count the retries that the shared budget grants and denies

Neither logs nor metrics told a refused retry from a request that wasn't sent again for another reason, so that the hypotheses of docs/incidents/0023 can't be told apart on a running fleet. caraway_host_retries_total counts grants and denials by pool and reason, and retry_denied in the request log names a request whose retry was denied. No change of behaviour.

Measured: MetricsTest, GatewayTest and the platform's build pass.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -73,7 +73,16 @@
     /** Sends queued requests for which there is free capacity. */
     fun sendQueued() = queue.offer { it.phase != ExchangePhase.Waiting || tryPlace(it) }
 
-    override fun tryRetry(exchange: Exchange): Boolean = exchange.pool?.let { budgets.tryRetry(it.name) } == true
+    override fun tryRetry(
+        exchange: Exchange,
+        reason: RetryReason,
+    ): Boolean {
+        val pool = exchange.pool?.name ?: return false
+        val granted = if (reason == RetryReason.Escalation) budgets.tryEscalation(pool) else budgets.tryRetry(pool)
+        meters.retryDecided(pool, reason, granted)
+        if (!granted) logExchange(exchange, "retry_denied", mapOf("reason" to reason.name))
+        return granted
+    }
 
     override fun enqueue(exchange: Exchange) {
         if (tryPlace(exchange)) return
@@ -202,7 +211,7 @@
                 confidence,
                 onTimeRemainingMillis,
             )
-        if (escalatedTo == null || exchange.pool?.let { budgets.tryEscalation(it.name) } != true) return null
+        if (escalatedTo == null || !tryRetry(exchange, RetryReason.Escalation)) return null
         val detail =
             mapOf(
                 "confidence" to confidence,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -143,7 +143,7 @@
 
     private fun abandonUnresponsiveUpstream() {
         val abandoned = target ?: return
-        if (!tryRetry()) return
+        if (!tryRetry(RetryReason.Stall)) return
         context.logExchange(this, "upstream_silent", mapOf("owedMillis" to abandoned.unansweredMillis))
         abandoned.recordFailure()
         context.attemptAbandoned(this)
@@ -200,7 +200,7 @@
         when {
             refusal != null -> handleRefusal(head, refusal)
             !relay.isComplete(head) -> onFailed(AttemptEnd.Broken)
-            head.isFailure() && !relay.started && tryRetry() -> retryAfterErrorResponse(head)
+            head.isFailure() && !relay.started && tryRetry(RetryReason.Failure) -> retryAfterErrorResponse(head)
             else -> finish(head)
         }
     }
@@ -268,7 +268,7 @@
             when {
                 phase == ExchangePhase.Ended -> Unit
                 callerDisconnected -> abandon()
-                neverSent || tryRetry() -> waitForUpstream()
+                neverSent || tryRetry(RetryReason.Failure) -> waitForUpstream()
                 else -> fail(brokenOff(execution, end))
             }
         }
@@ -300,11 +300,11 @@
     }
 
     /** Takes a retry from the budget if the request may be sent again although an upstream may have executed it. */
-    private fun tryRetry(): Boolean {
+    private fun tryRetry(reason: RetryReason): Boolean {
         val inTime = request.deadlineAtMillis - context.nowMillis() >= MIN_REMAINING_MILLIS
         val allowed =
             route.retryable && relay.canResume && possibleRuns < route.maxAttempts && watch.allowsRetry
-        return allowed && inTime && !callerDisconnected && context.tryRetry(this)
+        return allowed && inTime && !callerDisconnected && context.tryRetry(this, reason)
     }
 
     private fun waitForUpstream() {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
@@ -59,7 +59,10 @@
     )
 
     /** Takes one retry from the budget of the route's pool; returns false when the budget is exhausted. */
-    fun tryRetry(exchange: Exchange): Boolean
+    fun tryRetry(
+        exchange: Exchange,
+        reason: RetryReason,
+    ): Boolean
 
     /** Records the outcome and duration of an attempt for its upstream's version. */
     fun recordOutcome(
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/GatewaySettings.kt
@@ -12,6 +12,7 @@
 import io.carawaytrack.model.Execution
 import io.carawaytrack.model.HostPort
 import io.carawaytrack.model.OrganisationName
+import io.carawaytrack.model.PoolName
 import io.carawaytrack.model.ZoneName
 
 /**
@@ -51,10 +52,12 @@
  *
  * @property requestEnded called for each request that matched a route
  * @property attemptEnded called for each attempt with its upstream and whether it succeeded
+ * @property retryDecided called for each retry that the budget of a pool granted (true) or denied
  */
 public class GatewayMeters(
     public val requestEnded: (EndedRequest) -> Unit = {},
     public val attemptEnded: (FleetUpstream, Boolean) -> Unit = { _, _ -> },
+    public val retryDecided: (PoolName, RetryReason, Boolean) -> Unit = { _, _, _ -> },
 )
 
 /**
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
@@ -54,6 +54,13 @@
         succeeded: Boolean,
     )
 
+    /** Counts a retry to [pool] for [reason] that the budget granted or denied. */
+    public fun retryDecided(
+        pool: PoolName,
+        reason: String,
+        granted: Boolean,
+    )
+
     /** Renders all metrics in the Prometheus text format. */
     public fun text(): ByteArray
 }
@@ -75,6 +82,7 @@
     private val requestSeconds = group.histogram(MetricCatalog.hostRequestSeconds)
     private val firstByteSeconds = group.histogram(MetricCatalog.hostFirstByteSeconds)
     private val attempts = group.counter(MetricCatalog.hostAttempts)
+    private val retries = group.counter(MetricCatalog.hostRetries)
 
     init {
         MetricCatalog.hostConfiguration.callbackGauge(registry) { call(status().configurationVersion.toDouble()) }
@@ -118,6 +126,12 @@
         succeeded: Boolean,
     ) = attempts.of(pool.value, version, if (succeeded) "good" else "failed").inc()
 
+    override fun retryDecided(
+        pool: PoolName,
+        reason: String,
+        granted: Boolean,
+    ) = retries.of(pool.value, reason, if (granted) "granted" else "denied").inc()
+
     override fun text(): ByteArray = ByteArrayOutputStream().also { writer.write(it, registry.scrape()) }.toByteArray()
 }
 
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
@@ -239,6 +239,14 @@
         histogram("caraway_host_first_byte_seconds", "Time to the first byte.", firstByteBoundsSeconds, ROUTE_LABEL)
     internal val hostAttempts =
         counter("caraway_host_attempts_total", "Ended attempts of a host.", "pool", VERSION_LABEL, "outcome")
+    internal val hostRetries =
+        counter(
+            "caraway_host_retries_total",
+            "Retries that a host's part of the shared budget granted or denied.",
+            "pool",
+            "reason",
+            "outcome",
+        )
     internal val hostConfiguration =
         gauge("caraway_host_configuration_version", "Version of the operator's document in force on a host.")
     internal val hostViewIndex =
@@ -332,6 +340,7 @@
                     hostRequestSeconds,
                     hostFirstByteSeconds,
                     hostAttempts,
+                    hostRetries,
                     hostConfiguration,
                     hostViewIndex,
                     hostUpstreams,
