Count every further arrival of a request against the retry budget

On one request that all upstreams reject came to 354 to 606 arrivals in its ten seconds.

Cause: a send after a rejection drew nothing from the budget, and a rejection was taken off the number that max_attempts limits. Class of fault: a limit that counts causes instead of the event it limits.

Change: RequestArrivals counts what arrived. Each arrival after the first takes a retry from the budget, whatever ended the one before (failure, rejection, 421, stall, resumption, escalation), and their number is limited by max_attempts. An attempt without a connection didn't arrive: its permit serves the next one. A rejected request that may not be sent again is refused at once, as not run and with Retry-After if no upstream may have run it; its caller's retry is a new request. A permit of a request that then expires in the queue isn't given back yet.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -197,8 +197,7 @@
     ): Int? {
         val request = exchange.request
         if (confidence == null ||
-            !request.gatewayChoosesModel ||
-            exchange.possibleRuns >= request.route.maxAttempts
+            !request.gatewayChoosesModel
         ) {
             return null
         }
@@ -211,7 +210,7 @@
                 confidence,
                 onTimeRemainingMillis,
             )
-        if (escalatedTo == null || !tryRetry(exchange, RetryReason.Escalation)) return null
+        if (escalatedTo == null || !exchange.arrivals.tryNext(RetryReason.Escalation)) return null
         val detail =
             mapOf(
                 "confidence" to confidence,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -35,9 +35,8 @@
     var phase = ExchangePhase.Waiting
         private set
 
-    /** Number of attempts whose upstream may have executed the request. */
-    var possibleRuns = 0
-        private set
+    /** Arrivals of the request at upstreams. */
+    val arrivals = RequestArrivals(request.route.maxAttempts) { context.tryRetry(this, it) }
 
     /** Total number of attempts. */
     var attempts = 0
@@ -110,7 +109,7 @@
         waitedMillis += now - waitingSinceMillis
         lastProgressAtMillis = now
         attempts++
-        possibleRuns++
+        arrivals.sent()
         upstream.requestStarted()
         context.send(this, upstream, next)
     }
@@ -234,7 +233,6 @@
             "upstream_refused",
             mapOf("status" to head.status().code(), "refusal" to refusal.name),
         )
-        possibleRuns--
         when (refusal) {
             UpstreamRefusal.AnotherUpstream -> upstream.departed = true
             UpstreamRefusal.Full -> upstream.markFull()
@@ -245,6 +243,7 @@
             callerDisconnected -> abandon()
             refusal == UpstreamRefusal.Rejected && attempts >= MAX_REJECTIONS ->
                 fail(rejectedByUpstreams(execution, attempts))
+            !arrivals.tryNext(RetryReason.Rejection) -> fail(rejectionsExhausted(this))
             else -> waitForUpstream()
         }
     }
@@ -255,7 +254,7 @@
         val neverSent = end == AttemptEnd.NotConnected
         context.logExchange(this, "attempt_failed", mapOf("end" to end.name, "answerBegun" to (response != null)))
         if (neverSent) {
-            possibleRuns--
+            arrivals.notSent()
             upstream.pause()
         } else if (end == AttemptEnd.Broken) {
             recordOutcome(good = false)
@@ -299,12 +298,11 @@
         target = null
     }
 
-    /** Takes a retry from the budget if the request may be sent again although an upstream may have executed it. */
+    /** Takes a permit for another arrival if the request may be sent again although an upstream may have executed it. */
     private fun tryRetry(reason: RetryReason): Boolean {
         val inTime = request.deadlineAtMillis - context.nowMillis() >= MIN_REMAINING_MILLIS
-        val allowed =
-            route.retryable && relay.canResume && possibleRuns < route.maxAttempts && watch.allowsRetry
-        return allowed && inTime && !callerDisconnected && context.tryRetry(this, reason)
+        val allowed = route.retryable && relay.canResume && watch.allowsRetry
+        return allowed && inTime && !callerDisconnected && arrivals.tryNext(reason)
     }
 
     private fun waitForUpstream() {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeFailures.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeFailures.kt
@@ -50,6 +50,16 @@
     else -> attemptsExhausted(exchange)
 }
 
+/** Upstreams rejected the request, and neither its route nor the budget allows another arrival. */
+internal fun rejectionsExhausted(exchange: Exchange): Failure = when {
+    exchange.hasNotRun ->
+        ErrorKind.PoolExhausted.notRun(
+            "upstreams rejected the request; it is not sent again after ${exchange.arrivals.count} arrivals",
+            retryAfterMillis = POOL_EXHAUSTED_RETRY_AFTER_MILLIS,
+        )
+    else -> attemptsExhausted(exchange)
+}
+
 /** The request is refused for [refusedForMillis] because it may crash upstreams. */
 internal fun quarantined(
     exchange: Exchange,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RetryReason.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RetryReason.kt
@@ -8,6 +8,9 @@
     /** The upstream failed, broke the response off or sent an invalid one. */
     Failure,
 
+    /** The upstream stated that it has not executed the request. */
+    Rejection,
+
     /** The upstream sent nothing for too long. */
     Stall,
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -52,6 +52,7 @@
 
 /** A gateway and its fake upstreams, started for each test. */
 internal abstract class GatewayFixture(
+    retries: RetrySettings = RetrySettings(retryRatio = 1.0, minRetries = 100),
     bodyMemoryBytes: Long = defaultBodyMemoryBytes(),
 ) {
     private val group = NioEventLoopGroup(1)
@@ -63,7 +64,7 @@
             GatewaySettings(
                 callers,
                 ZoneName("a"),
-                RetrySettings(retryRatio = 1.0, minRetries = 100),
+                retries,
                 bodyMemoryBytes = bodyMemoryBytes,
             ),
             headerNames,
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/RejectedRequestTest.kt
@@ -0,0 +1,70 @@
+/*
+ * Requests that upstreams reject without running them, through a gateway over loopback: how many upstreams one request
+ * reaches, and what its caller receives when the budget for retries is used up.
+ */
+package io.carawaytrack.gateway
+
+import io.carawaytrack.limits.RetrySettings
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import strikt.api.expectThat
+import strikt.assertions.isContainedIn
+import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+
+/** `max_attempts` of the fixture's routes. */
+private const val MAX_ATTEMPTS = 3
+
+private const val UPSTREAMS = 6
+
+/** Time for which one call waits for an upstream with free capacity. */
+private const val CALL_WAIT_MILLIS = 700L
+
+/** Statuses from which callers conclude that the request has not run. */
+private val notRunStatuses = setOf(408, 421, 429, 503)
+
+private val RawMessage.status get() = start.substring(9, 12).toInt()
+
+internal class RejectedRequestTest : GatewayFixture() {
+    @ParameterizedTest
+    @CsvSource(
+        "429 Too Many Requests, x-not-executed: 1, pay",
+        "429 Too Many Requests, x-not-executed: 1, draft",
+        "503 Service Unavailable, x-not-executed: 1, lookup",
+        "503 Service Unavailable, x-not-executed: 1, oneoff",
+        "400 Bad Request, x-not-executed: 1, pay",
+        "421 Misdirected Request, x-other: 1, pay",
+    )
+    fun `a request that all upstreams reject reaches at most max attempts of them`(
+        status: String,
+        header: String,
+        route: String,
+    ) {
+        val rejection = fullResponse(status, "", "$header\n")
+        serveFrom(List(UPSTREAMS) { FakeUpstream { _, out, _ -> true.also { out.send(rejection) } } })
+        val response = exchange(request("/$route/x"))
+        expectThat(upstreams.sumOf { it.requests.size }).isIn(1..MAX_ATTEMPTS)
+        expectThat(response?.status).isNotNull().isContainedIn(notRunStatuses)
+    }
+}
+
+internal class RejectedWithoutBudgetTest : GatewayFixture(RetrySettings(retryRatio = 0.0, minRetries = 0)) {
+    @Test
+    fun `a rejected request is refused at once as not run when the budget is used up`() {
+        val rejection = fullResponse("429 Too Many Requests", "", "x-not-executed: 1\n")
+        serveFrom(List(UPSTREAMS) { FakeUpstream { _, out, _ -> true.also { out.send(rejection) } } })
+        val sentAtNanos = System.nanoTime()
+        val responses = List(UPSTREAMS) { exchange(request("/pay/x")) }
+        val tookMillis = (System.nanoTime() - sentAtNanos) / 1_000_000
+        responses.forEach {
+            expectThat(it?.status).isEqualTo(503)
+            expectThat(it?.get("Retry-After")?.toDouble()).isNotNull().isIn(0.01..1.0)
+        }
+        expectThat(tookMillis).isLessThan(UPSTREAMS * CALL_WAIT_MILLIS)
+        // A host's part of the budget is at least one retry.
+        expectThat(upstreams.sumOf { it.requests.size }).isIn(UPSTREAMS..UPSTREAMS + 1)
+    }
+}
