--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -35,9 +35,8 @@
     var phase = ExchangePhase.Waiting
         private set
 
-    /** Number of attempts whose upstream may have executed the request. */
-    var possibleRuns = 0
-        private set
+    /** Arrivals of the request at upstreams. */
+    val arrivals = RequestArrivals(request.route.maxAttempts) { context.tryRetry(this, it) }
 
     /** Total number of attempts. */
     var attempts = 0
@@ -110,7 +109,7 @@
         waitedMillis += now - waitingSinceMillis
         lastProgressAtMillis = now
         attempts++
-        possibleRuns++
+        arrivals.sent()
         upstream.requestStarted()
         context.send(this, upstream, next)
     }
@@ -143,7 +142,7 @@
 
     private fun abandonUnresponsiveUpstream() {
         val abandoned = target ?: return
-        if (!tryRetry()) return
+        if (!tryRetry(RetryReason.Stall)) return
         context.logExchange(this, "upstream_silent", mapOf("owedMillis" to abandoned.unansweredMillis))
         abandoned.recordFailure()
         context.attemptAbandoned(this)
@@ -200,7 +199,7 @@
         when {
             refusal != null -> handleRefusal(head, refusal)
             !relay.isComplete(head) -> onFailed(AttemptEnd.Broken)
-            head.isFailure() && !relay.started && tryRetry() -> retryAfterErrorResponse(head)
+            head.isFailure() && !relay.started && tryRetry(RetryReason.Failure) -> retryAfterErrorResponse(head)
             else -> finish(head)
         }
     }
@@ -234,7 +233,6 @@
             "upstream_refused",
             mapOf("status" to head.status().code(), "refusal" to refusal.name),
         )
-        possibleRuns--
         when (refusal) {
             UpstreamRefusal.AnotherUpstream -> upstream.departed = true
             UpstreamRefusal.Full -> upstream.markFull()
@@ -245,6 +243,7 @@
             callerDisconnected -> abandon()
             refusal == UpstreamRefusal.Rejected && attempts >= MAX_REJECTIONS ->
                 fail(rejectedByUpstreams(execution, attempts))
+            !arrivals.tryNext(RetryReason.Rejection) -> fail(rejectionsExhausted(this))
             else -> waitForUpstream()
         }
     }
@@ -255,7 +254,7 @@
         val neverSent = end == AttemptEnd.NotConnected
         context.logExchange(this, "attempt_failed", mapOf("end" to end.name, "answerBegun" to (response != null)))
         if (neverSent) {
-            possibleRuns--
+            arrivals.notSent()
             upstream.pause()
         } else if (end == AttemptEnd.Broken) {
             recordOutcome(good = false)
@@ -268,7 +267,7 @@
             when {
                 phase == ExchangePhase.Ended -> Unit
                 callerDisconnected -> abandon()
-                neverSent || tryRetry() -> waitForUpstream()
+                neverSent || tryRetry(RetryReason.Failure) -> waitForUpstream()
                 else -> fail(brokenOff(execution, end))
             }
         }
@@ -299,12 +298,11 @@
         target = null
     }
 
-    /** Takes a retry from the budget if the request may be sent again although an upstream may have executed it. */
-    private fun tryRetry(): Boolean {
+    /** Takes a permit for another arrival if the request may be sent again although an upstream may have executed it. */
+    private fun tryRetry(reason: RetryReason): Boolean {
         val inTime = request.deadlineAtMillis - context.nowMillis() >= MIN_REMAINING_MILLIS
-        val allowed =
-            route.retryable && relay.canResume && possibleRuns < route.maxAttempts && watch.allowsRetry
-        return allowed && inTime && !callerDisconnected && context.tryRetry(this)
+        val allowed = route.retryable && relay.canResume && watch.allowsRetry
+        return allowed && inTime && !callerDisconnected && arrivals.tryNext(reason)
     }
 
     private fun waitForUpstream() {
