Keep bytes that follow a response out of the next one

Cause: a connection became available at the last byte of a response, while the rest of the same read was still to be decoded; the next request was sent on it and took that rest for its answer. Bytes without a line end stayed in the decoder of an idle connection unnoticed, and became the beginning of the next head. Class of fault: a resource that is given on before its last user is done with it.

Change: the decoder is told where an awaited response ends. Bytes beyond it are dropped, logged as upstream_surplus_bytes, and close the connection; it becomes available only at the end of the read. A sound connection stays in use as before.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -50,9 +50,6 @@
 /** Number of requests without a success that a connection remembers; a repeated response follows within a few. */
 private const val MAX_UNSUCCESSFUL_REQUESTS = 16
 
-private const val MILLIS_PER_SECOND = 1_000L
-private const val KEEP_ALIVE = "Keep-Alive"
-
 internal class UpstreamConnections(
     private val group: EventLoopGroup,
     private val nowMillis: () -> Long,
@@ -169,7 +166,7 @@
         val address: HostPort,
     ) : ChannelInboundHandlerAdapter() {
         lateinit var channel: Channel
-        val decoder = UpstreamResponseDecoder()
+        val decoder = UpstreamResponseDecoder(::receiveSurplus)
         var idleSinceMillis = 0L
             private set
         private var keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS
@@ -181,6 +178,7 @@
         private var reusable = true
         private var broken = false
         private var written = false
+        private var complete = false
         private var interimResponses = 0
         private var skippedBytes = 0
         private val unsuccessfulRequests = ArrayDeque<String>()
@@ -206,6 +204,7 @@
             response = null
             received = false
             written = false
+            complete = false
             interimResponses = 0
             skippedBytes = 0
             val method = next.request.method()
@@ -228,7 +227,7 @@
             val current = attempt
             when {
                 current == null || current.ended -> {
-                    // Surplus data after a response or a cancelled attempt: the connection cannot be reused safely.
+                    // Data after a cancelled attempt: the connection cannot be reused safely.
                     ReferenceCountUtil.release(message)
                     channel.close()
                 }
@@ -259,11 +258,8 @@
         ) {
             val responseAttemptId = head.headers()[current.headerNames.attemptId]
             val informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            ignoringResponse =
-                informational ||
-                (
-                    responseAttemptId != null && responseAttemptId != current.requestId
-                )
+            val otherRequest = responseAttemptId != null && responseAttemptId != current.requestId
+            ignoringResponse = informational || otherRequest
             if (ignoringResponse) {
                 if (!informational) reusable = false
                 // Only the request that it belongs to would show whether its body follows.
@@ -275,14 +271,11 @@
             if (responseAttemptId == null && reused && head.refusal(current.headerNames) != null) return closeAsBroken()
             if (!head.isSuccess()) recordUnsuccessful(current)
             response = head
-            reusable = reusable && HttpUtil.isKeepAlive(head) && isFramed(head)
-            head.headers()[KEEP_ALIVE]?.let { keepAliveMillis = keepAliveMillis(it) }
+            reusable = reusable && HttpUtil.isKeepAlive(head) && head.isFramed()
+            head.keepAliveMillis()?.let { keepAliveMillis = it }
             current.listener.onHead(head)
         }
 
-        private fun isFramed(head: HttpResponse) =
-            HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
-
         private fun receiveBody(
             current: Attempt,
             content: HttpContent,
@@ -299,18 +292,30 @@
                 return
             }
             if (content.content().isReadable) current.listener.onContent(content.content()) else content.release()
-            if (content is LastHttpContent && !current.ended) responseComplete(current)
+            if (content is LastHttpContent && !current.ended) responseComplete()
         }
 
-        private fun responseComplete(current: Attempt) {
+        private fun responseComplete() {
             // A response without a length ends with the connection, so one that failed means that it is truncated.
             if (broken) return
+            complete = true
+            decoder.stop()
+        }
+
+        /** Ends an attempt whose response is complete, once all of its last read has been examined. */
+        private fun endAttempt(current: Attempt) {
             attempt = null
             current.end()
             if (reusable && written && channel.isActive) becomeIdle() else channel.close()
             current.listener.onComplete()
         }
 
+        /** Closes the connection on which bytes follow a complete response: what comes next may be the rest of them. */
+        private fun receiveSurplus() {
+            logEvent("upstream_surplus_bytes", mapOf("address" to address.toString()))
+            channel.close()
+        }
+
         private fun becomeIdle() {
             reused = true
             idleSinceMillis = nowMillis()
@@ -318,12 +323,14 @@
         }
 
         override fun channelReadComplete(context: ChannelHandlerContext) {
-            attempt?.takeIf { !it.ended }?.listener?.onReadComplete()
+            val current = attempt?.takeIf { !it.ended } ?: return
+            if (complete) endAttempt(current) else current.listener.onReadComplete()
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
             idle[address]?.remove(this)
             val current = attempt ?: return
+            if (complete && !current.ended) return endAttempt(current)
             attempt = null
             if (current.ended) return
             current.end()
@@ -339,10 +346,5 @@
             logUnexpected("upstream", cause)
             context.close()
         }
-
-        private fun keepAliveMillis(header: String): Long {
-            val advertised = header.substringAfter("timeout=", "").takeWhile(Char::isDigit).toLongOrNull()
-            return advertised?.let { it * MILLIS_PER_SECOND } ?: DEFAULT_KEEP_ALIVE_MILLIS
-        }
     }
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponse.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponse.kt
@@ -6,6 +6,11 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+
+private const val MILLIS_PER_SECOND = 1_000L
+private const val KEEP_ALIVE = "Keep-Alive"
+private const val KEEP_ALIVE_TIMEOUT = "timeout="
 
 /** Reasons for which an upstream has not executed a request. */
 internal enum class UpstreamRefusal {
@@ -26,6 +31,16 @@
 /** Returns whether the response carries the upstream's signature. */
 internal fun HttpResponse.isSigned(headerNames: HeaderNames): Boolean = headers().contains(headerNames.signature)
 
+/** Returns whether the response states where its body ends, other than at the end of its connection. */
+internal fun HttpResponse.isFramed(): Boolean =
+    HttpUtil.isContentLengthSet(this) || HttpUtil.isTransferEncodingChunked(this)
+
+/** Returns the time for which the upstream keeps the connection open while it is idle, or null if it states none. */
+internal fun HttpResponse.keepAliveMillis(): Long? {
+    val stated = headers()[KEEP_ALIVE]?.substringAfter(KEEP_ALIVE_TIMEOUT, "") ?: return null
+    return stated.takeWhile(Char::isDigit).toLongOrNull()?.let { it * MILLIS_PER_SECOND }
+}
+
 /** Returns the reason that the upstream states for not executing the request, or null when it states none. */
 internal fun HttpResponse.refusal(headerNames: HeaderNames): UpstreamRefusal? {
     val status = status().code()
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
@@ -1,9 +1,12 @@
 /*
  * Decoding of an upstream's responses. The caller states which request is awaited: whether a response has a body
- * depends on that request's method, and an upstream may send more responses than requests.
+ * depends on that request's method, and an upstream may send more responses than requests. Bytes that arrive while
+ * none is awaited are not decoded, so that none of them can become a part of the next response.
  */
 package io.carawaytrack.gateway
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
@@ -19,14 +22,34 @@
         .setMaxHeaderSize(MAX_HEADER_BYTES)
         .setMaxChunkSize(MAX_CHUNK_BYTES)
 
-internal class UpstreamResponseDecoder : HttpResponseDecoder(decoderConfig) {
+/** A decoder that calls [surplusReceived] for bytes that arrive while no response is awaited, and drops them. */
+internal class UpstreamResponseDecoder(
+    private val surplusReceived: () -> Unit,
+) : HttpResponseDecoder(decoderConfig) {
+    private var awaiting = false
     private var withoutBody = false
 
     /** Decodes the next response as one to a request with [method]. */
     fun await(method: HttpMethod) {
+        awaiting = true
         withoutBody = method == HttpMethod.HEAD
     }
 
+    /** Stops decoding at the end of the awaited response. */
+    fun stop() {
+        awaiting = false
+    }
+
+    override fun decode(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        if (awaiting) return super.decode(context, buffer, out)
+        buffer.skipBytes(buffer.readableBytes())
+        surplusReceived()
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         withoutBody || super.isContentAlwaysEmpty(message)
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -144,6 +144,20 @@
         group.next().submit(action).get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
     }
 
+    /** Waits until [condition] holds on the event loop, with [before] ahead of each check. */
+    protected fun awaitOnLoop(
+        before: () -> Unit = {},
+        condition: () -> Boolean,
+    ) {
+        val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)
+        var met = false
+        while (!met) {
+            check(System.nanoTime() < endNanos) { "expected the condition within $TIMEOUT_SECONDS s" }
+            before()
+            onLoop { met = condition() }
+        }
+    }
+
     /** Starts upstreams that all serve the pools "stock" and "llm", the first one in the gateway's own zone. */
     protected fun serve(vararg responders: (RawMessage, OutputStream, Socket) -> Boolean) =
         serveFrom(responders.map { FakeUpstream(respond = it) })
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayTest.kt
@@ -291,19 +291,6 @@
         }
     }
 
-    private fun awaitOnLoop(
-        before: () -> Unit = {},
-        condition: () -> Boolean,
-    ) {
-        val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS)
-        var met = false
-        while (!met) {
-            check(System.nanoTime() < endNanos) { "expected the condition within $TIMEOUT_SECONDS s" }
-            before()
-            onLoop { met = condition() }
-        }
-    }
-
     /** Waits until the gateway has read what was sent on its connections so far. */
     private fun FakeCaller.awaitRead() {
         check(!socket.isClosed) { "expected an open connection" }
