Open a folder again after any failure, and mark the first host's before its identity

Cause: only failures that storage reports as a value led to another attempt to open the folder. An exception ended the task, and nothing else opens the folder. Two calls outside of storage could throw: reading and writing the file that marks the host which founds the group. When the disk was full at the latter, the identity was already there, so that the host would not found the group with room again, either.

Change: whatever ends an attempt is followed by the next one. The marker is written before the identity, which completes the initialisation.

--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/ReplicaFolder.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/ReplicaFolder.kt
@@ -4,6 +4,7 @@
  */
 package io.carawaytrack.mesh
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
@@ -62,6 +63,10 @@
 internal fun storageThread(): ScheduledExecutorService =
     Executors.newSingleThreadScheduledExecutor { Thread(it, "storage").apply { isDaemon = true } }
 
+/** Returns an exception of [call] as a failure, since nothing but another attempt opens the folder again. */
+private fun <T> attempt(call: () -> Result<T, StorageFailure>): Result<T, StorageFailure> =
+    runCatching(call).getOrElse { Err(StorageFailure.DiskFailed("an attempt to open the folder failed with $it")) }
+
 internal class ReplicaFolder(
     private val setup: CoreSetup,
     private val storage: ScheduledExecutorService,
@@ -104,7 +109,7 @@
     private fun withDisk(use: (Disk) -> Result<GroupReplica?, StorageFailure>) {
         setup
             .openDisk()
-            .andThen { disk -> use(disk).onFailure { disk.close() } }
+            .andThen { disk -> attempt { use(disk) }.onFailure { attempt { Ok(disk.close()) } } }
             .onSuccess { replica = it }
             .onFailure { failure ->
                 val fields = mapOf("folder" to setup.folder.toString(), "reason" to failure.detail)
@@ -130,8 +135,8 @@
         val incarnation = SecureRandom().nextLong()
         val node = NodeId("${setup.address}/${incarnation.toULong().toString(radix = 36)}")
         val identity = FolderIdentity(CLUSTER_ID, node, incarnation)
-        return clearFolder(disk).andThen { initialiseFolder(disk, identity) }.andThen {
-            if (bootstrap) disk.replace(BOOTSTRAP_MARKER_FILE, ByteArray(0))
+        val markers = if (bootstrap) listOf(BOOTSTRAP_MARKER_FILE) else emptyList()
+        return clearFolder(disk).andThen { initialiseFolder(disk, identity, markers) }.andThen {
             logger.event("folder_initialised", mapOf("replica" to node.value, "founding" to bootstrap))
             openReplica(disk, identity)
         }
--- a/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDiskTest.kt
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDiskTest.kt
@@ -19,6 +19,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isTrue
+import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
@@ -117,7 +118,7 @@
     @TestFactory
     fun `a host whose disk was full while its folder was initialised gets a replica`() =
         listOf(false, true).flatMap { bootstrap ->
-            (0..2).map { writes ->
+            (0..4).map { writes ->
                 dynamicTest("bootstrap $bootstrap, full after $writes writes") {
                     val host = OneHost("$bootstrap-$writes")
                     host.room.fill(afterWrites = writes)
@@ -165,4 +166,19 @@
                 expectThat(host.propose(6).get(TIMEOUT_SECONDS, TimeUnit.SECONDS).isOk).isTrue()
             }
         }
+
+    @TestFactory
+    fun `a folder is opened again after any read has failed`() = listOf("founder", "term", "identity").map { file ->
+        dynamicTest(file) {
+            val host = OneHost("read-$file")
+            val old = host.awaitReplica(bootstrap = true)
+            host.awaitLeadership()
+            val failed = AtomicInteger()
+            host.room.beforeRead = { name ->
+                if (name == file && failed.getAndIncrement() < 2) throw IOException("injected: read of $name")
+            }
+            host.member.handleRemoval(old)
+            host.awaitReplica(bootstrap = false, old)
+        }
+    }
 }
--- a/mesh/src/test/kotlin/io/carawaytrack/mesh/LimitedDisk.kt
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/LimitedDisk.kt
@@ -28,6 +28,10 @@
     @Volatile
     var beforeWrite: () -> Unit = {}
 
+    /** Called before each read; may throw. */
+    @Volatile
+    var beforeRead: (String) -> Unit = {}
+
     fun fill(afterWrites: Int = 0) {
         writesLeft = afterWrites
     }
@@ -62,6 +66,11 @@
         }
     }
 
+    override fun read(name: String): ByteArray? {
+        room.beforeRead(name)
+        return disk.read(name)
+    }
+
     override fun replace(
         name: String,
         content: ByteArray,
--- a/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
+++ b/storage/src/main/kotlin/io/carawaytrack/storage/LogStore.kt
@@ -83,10 +83,16 @@
     public fun installSnapshot(snapshot: StoredSnapshot): Result<Unit, StorageFailure>
 }
 
-/** Writes the initial state of a new replica; fails with `FolderNotEmpty` if [disk] contains any file. */
+/**
+ * Writes the initial state of a new replica; fails with `FolderNotEmpty` if [disk] contains any file.
+ *
+ * @param markers names of empty files that the owner of the folder reads; written before the identity, which completes
+ * the initialisation
+ */
 public fun initialiseFolder(
     disk: Disk,
     identity: FolderIdentity,
+    markers: List<String> = emptyList(),
 ): Result<Unit, StorageFailure> = diskCall {
     val found = disk.list()
     if (found.isNotEmpty()) {
@@ -94,6 +100,7 @@
     }
     disk.replace(segmentName(1), ByteArray(0))
     disk.replace(TERM_FILE, withChecksum(encodeTerm(TermVote(0, null))))
+    markers.forEach { disk.replace(it, ByteArray(0)) }
     disk.replace(IDENTITY_FILE, withChecksum(encodeIdentity(identity)))
     Ok(Unit)
 }
