Handle a halt on the storage thread, for the replica that has halted

What callers see: nothing in the case that the test shows. The host tries for ever to open a folder that its own replica holds and logs storage_failed each 0.7 s, and every later halt adds another such loop.

Cause: a halt was handled on the replica's thread, for whatever replica was open at that moment. If the replica was being removed, none was, yet the folder was to be opened again, beside the attempt of the removal. If the halt came before the opened replica had been stored, the halted one would be stored afterwards and stay, and its folder locked. This second case needs the storage thread to stand still for an election timeout at that point; it was found by reading, and no test shows it.

Change: halts and removals are both handled on the storage thread, which opens the replicas, and each closes its replica only if that is still the one of this folder. So a folder has one replica or one attempt to open it.

--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/CoreMember.kt
@@ -174,7 +174,7 @@
             mapOf("replica" to node.value, "reason" to "removed from the group"),
             Level.WARN,
         )
-        folder.renew(open) { renewing = false }
+        folder.renew(open) { setup.onLoop { renewing = false } }
     }
 
     /** Makes the next membership change, if this host leads and one is needed; called at a fixed interval. */
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/ReplicaFolder.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/ReplicaFolder.kt
@@ -94,13 +94,11 @@
     fun renew(
         removed: GroupReplica,
         done: () -> Unit,
-    ) {
-        replica = null
-        storage.execute {
-            removed.close()
+    ) = storage.execute {
+        if (release(removed)) {
             withDisk { disk -> clearFolder(disk).andThen { initialiseAndOpen(disk, bootstrap = false) } }
-            done()
         }
+        done()
     }
 
     /** Saves [recent] for the next start, without waiting for the disk. */
@@ -147,6 +145,7 @@
         identity: FolderIdentity,
     ): Result<GroupReplica, StorageFailure> {
         val bootstrapped = disk.read(BOOTSTRAP_MARKER_FILE) != null
+        var opened: GroupReplica? = null
         return openReplica(
             group =
                 ReplicaGroup(
@@ -159,29 +158,34 @@
             send = { to, payload -> setup.send(identity.node, to, payload) },
             nowMillis = setup.nowMillis,
             random = Random(SecureRandom().nextLong()),
-            onHalt = ::handleHalt,
+            onHalt = { failure ->
+                // Handled on the storage thread, which has then stored the replica, however early it halts.
+                if (failure.kind != ErrorKind.ShuttingDown) storage.execute { handleHalt(opened, failure) }
+            },
             settings = replicaSettings,
         ).mapError { StorageFailure.DiskFailed("${identity.node} was not opened: ${it.detail}") }
             .onSuccess {
+                opened = it
                 val fields = mapOf("replica" to identity.node.value, "founder" to bootstrapped)
                 logger.event("replica_opened", fields)
             }
     }
 
     /** Reopens the folder after a storage failure; until then this host neither votes nor acknowledges. */
-    private fun handleHalt(failure: Failure) {
-        if (failure.kind == ErrorKind.ShuttingDown) return
+    private fun handleHalt(
+        halted: GroupReplica?,
+        failure: Failure,
+    ) {
         logger.event("replica_halted", mapOf("reason" to failure.detail), Level.WARN)
-        val halted = replica
+        if (halted != null && release(halted)) scheduleReopen()
+    }
+
+    /** Closes [open] if it is the replica of this folder; otherwise another task has closed it and opens the folder. */
+    private fun release(open: GroupReplica): Boolean {
+        if (replica !== open) return false
         replica = null
-        storage.schedule(
-            {
-                halted?.close()
-                withDisk(::openExisting)
-            },
-            REOPEN_DELAY_MILLIS,
-            TimeUnit.MILLISECONDS,
-        )
+        open.close()
+        return true
     }
 
     override fun close() {
--- a/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDiskTest.kt
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDiskTest.kt
@@ -13,6 +13,7 @@
 import io.carawaytrack.storage.StorageFailure
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.io.TempDir
 import strikt.api.expectThat
@@ -23,6 +24,7 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.TimeUnit
@@ -181,4 +183,29 @@
             host.awaitReplica(bootstrap = false, old)
         }
     }
+
+    @Test
+    fun `a replica that halts while it is removed leaves one attempt to open its folder`() {
+        val host = OneHost("halting")
+        val old = host.awaitReplica(bootstrap = true)
+        host.awaitLeadership()
+        val writing = CountDownLatch(1)
+        val removed = CountDownLatch(1)
+        host.room.beforeWrite = {
+            writing.countDown()
+            removed.await()
+        }
+        host.room.fill()
+        val call = host.propose(1)
+        writing.await()
+        host.member.handleRemoval(old)
+        host.room.beforeWrite = {}
+        removed.countDown()
+        call.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        host.room.free()
+        host.awaitReplica(bootstrap = false, old)
+        val locked = host.lockedOut.get()
+        host.storage.schedule({}, 10_000, TimeUnit.MILLISECONDS).get()
+        expectThat(host.lockedOut.get()).isEqualTo(locked)
+    }
 }
