--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/ReplicaFolder.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/ReplicaFolder.kt
@@ -4,6 +4,7 @@
  */
 package io.carawaytrack.mesh
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.andThen
@@ -62,6 +63,10 @@
 internal fun storageThread(): ScheduledExecutorService =
     Executors.newSingleThreadScheduledExecutor { Thread(it, "storage").apply { isDaemon = true } }
 
+/** Returns an exception of [call] as a failure, since nothing but another attempt opens the folder again. */
+private fun <T> attempt(call: () -> Result<T, StorageFailure>): Result<T, StorageFailure> =
+    runCatching(call).getOrElse { Err(StorageFailure.DiskFailed("an attempt to open the folder failed with $it")) }
+
 internal class ReplicaFolder(
     private val setup: CoreSetup,
     private val storage: ScheduledExecutorService,
@@ -89,13 +94,11 @@
     fun renew(
         removed: GroupReplica,
         done: () -> Unit,
-    ) {
-        replica = null
-        storage.execute {
-            removed.close()
+    ) = storage.execute {
+        if (release(removed)) {
             withDisk { disk -> clearFolder(disk).andThen { initialiseAndOpen(disk, bootstrap = false) } }
-            done()
         }
+        done()
     }
 
     /** Saves [recent] for the next start, without waiting for the disk. */
@@ -104,7 +107,7 @@
     private fun withDisk(use: (Disk) -> Result<GroupReplica?, StorageFailure>) {
         setup
             .openDisk()
-            .andThen { disk -> use(disk).onFailure { disk.close() } }
+            .andThen { disk -> attempt { use(disk) }.onFailure { attempt { Ok(disk.close()) } } }
             .onSuccess { replica = it }
             .onFailure { failure ->
                 val fields = mapOf("folder" to setup.folder.toString(), "reason" to failure.detail)
@@ -130,8 +133,8 @@
         val incarnation = SecureRandom().nextLong()
         val node = NodeId("${setup.address}/${incarnation.toULong().toString(radix = 36)}")
         val identity = FolderIdentity(CLUSTER_ID, node, incarnation)
-        return clearFolder(disk).andThen { initialiseFolder(disk, identity) }.andThen {
-            if (bootstrap) disk.replace(BOOTSTRAP_MARKER_FILE, ByteArray(0))
+        val markers = if (bootstrap) listOf(BOOTSTRAP_MARKER_FILE) else emptyList()
+        return clearFolder(disk).andThen { initialiseFolder(disk, identity, markers) }.andThen {
             logger.event("folder_initialised", mapOf("replica" to node.value, "founding" to bootstrap))
             openReplica(disk, identity)
         }
@@ -142,6 +145,7 @@
         identity: FolderIdentity,
     ): Result<GroupReplica, StorageFailure> {
         val bootstrapped = disk.read(BOOTSTRAP_MARKER_FILE) != null
+        var opened: GroupReplica? = null
         return openReplica(
             group =
                 ReplicaGroup(
@@ -154,29 +158,34 @@
             send = { to, payload -> setup.send(identity.node, to, payload) },
             nowMillis = setup.nowMillis,
             random = Random(SecureRandom().nextLong()),
-            onHalt = ::handleHalt,
+            onHalt = { failure ->
+                // Handled on the storage thread, which has then stored the replica, however early it halts.
+                if (failure.kind != ErrorKind.ShuttingDown) storage.execute { handleHalt(opened, failure) }
+            },
             settings = replicaSettings,
         ).mapError { StorageFailure.DiskFailed("${identity.node} was not opened: ${it.detail}") }
             .onSuccess {
+                opened = it
                 val fields = mapOf("replica" to identity.node.value, "founder" to bootstrapped)
                 logger.event("replica_opened", fields)
             }
     }
 
     /** Reopens the folder after a storage failure; until then this host neither votes nor acknowledges. */
-    private fun handleHalt(failure: Failure) {
-        if (failure.kind == ErrorKind.ShuttingDown) return
+    private fun handleHalt(
+        halted: GroupReplica?,
+        failure: Failure,
+    ) {
         logger.event("replica_halted", mapOf("reason" to failure.detail), Level.WARN)
-        val halted = replica
+        if (halted != null && release(halted)) scheduleReopen()
+    }
+
+    /** Closes [open] if it is the replica of this folder; otherwise another task has closed it and opens the folder. */
+    private fun release(open: GroupReplica): Boolean {
+        if (replica !== open) return false
         replica = null
-        storage.schedule(
-            {
-                halted?.close()
-                withDisk(::openExisting)
-            },
-            REOPEN_DELAY_MILLIS,
-            TimeUnit.MILLISECONDS,
-        )
+        open.close()
+        return true
     }
 
     override fun close() {
--- a/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDiskTest.kt
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDiskTest.kt
@@ -13,15 +13,18 @@
 import io.carawaytrack.storage.StorageFailure
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import org.junit.jupiter.api.io.TempDir
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isTrue
+import java.io.IOException
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.ScheduledThreadPoolExecutor
 import java.util.concurrent.TimeUnit
@@ -117,7 +120,7 @@
     @TestFactory
     fun `a host whose disk was full while its folder was initialised gets a replica`() =
         listOf(false, true).flatMap { bootstrap ->
-            (0..2).map { writes ->
+            (0..4).map { writes ->
                 dynamicTest("bootstrap $bootstrap, full after $writes writes") {
                     val host = OneHost("$bootstrap-$writes")
                     host.room.fill(afterWrites = writes)
@@ -165,4 +168,44 @@
                 expectThat(host.propose(6).get(TIMEOUT_SECONDS, TimeUnit.SECONDS).isOk).isTrue()
             }
         }
+
+    @TestFactory
+    fun `a folder is opened again after any read has failed`() = listOf("founder", "term", "identity").map { file ->
+        dynamicTest(file) {
+            val host = OneHost("read-$file")
+            val old = host.awaitReplica(bootstrap = true)
+            host.awaitLeadership()
+            val failed = AtomicInteger()
+            host.room.beforeRead = { name ->
+                if (name == file && failed.getAndIncrement() < 2) throw IOException("injected: read of $name")
+            }
+            host.member.handleRemoval(old)
+            host.awaitReplica(bootstrap = false, old)
+        }
+    }
+
+    @Test
+    fun `a replica that halts while it is removed leaves one attempt to open its folder`() {
+        val host = OneHost("halting")
+        val old = host.awaitReplica(bootstrap = true)
+        host.awaitLeadership()
+        val writing = CountDownLatch(1)
+        val removed = CountDownLatch(1)
+        host.room.beforeWrite = {
+            writing.countDown()
+            removed.await()
+        }
+        host.room.fill()
+        val call = host.propose(1)
+        writing.await()
+        host.member.handleRemoval(old)
+        host.room.beforeWrite = {}
+        removed.countDown()
+        call.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        host.room.free()
+        host.awaitReplica(bootstrap = false, old)
+        val locked = host.lockedOut.get()
+        host.storage.schedule({}, 10_000, TimeUnit.MILLISECONDS).get()
+        expectThat(host.lockedOut.get()).isEqualTo(locked)
+    }
 }
