Reset an HTTP/1.0 caller's connection however a response ends early

A caller of HTTP/1.0 reads a stream, or a large answer, up to the end of its connection.

Only abort() asked for a reset. Now a response that is ended by its connection asks for one from its head on, and takes that back when its last byte has been written; so any other end is a reset.

BrokenOffResponseTest, "a host that ends during a stream resets a caller that speaks HTTP 1 point 0", failed before (no exception: an orderly end) and passes now. It also has 200 seeded responses that end anywhere (no failure before or after this change). The fixture moves to a file of its own.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -240,6 +240,8 @@
                 headers[HttpHeaderNames.TRANSFER_ENCODING] = HttpHeaderValues.CHUNKED
             } else {
                 keepAlive = false
+                // An orderly end would complete the response, so until then any end of the connection is a reset.
+                channel.config().setOption(ChannelOption.SO_LINGER, 0)
             }
             setConnection(headers)
             channel.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers))
@@ -257,7 +259,11 @@
         /** Ends a complete response. */
         fun finish() {
             val sent = channel.writeAndFlush(DefaultLastHttpContent.EMPTY_LAST_CONTENT)
-            if (keepAlive) responseSent() else sent.addListener(ChannelFutureListener.CLOSE)
+            if (keepAlive) return responseSent()
+            sent.addListener {
+                if (it.isSuccess) channel.config().setOption(ChannelOption.SO_LINGER, NO_LINGER)
+                channel.close()
+            }
         }
 
         /**
@@ -265,8 +271,6 @@
          */
         fun abort() {
             listener = null
-            // An orderly end would complete a response that is not chunked; without lingering, the connection is reset.
-            if (!chunked) channel.config().setOption(ChannelOption.SO_LINGER, 0)
             channel.close()
         }
 
@@ -329,6 +333,9 @@
     private companion object {
         /** Number of body components beyond which they are consolidated into one. */
         const val MAX_BODY_PARTS = 64
+
+        /** Value of SO_LINGER with which a closed connection ends in an orderly way. */
+        const val NO_LINGER = -1
     }
 }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/BrokenOffResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/BrokenOffResponseTest.kt
@@ -6,130 +6,31 @@
 
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
+import strikt.api.expectThrows
 import strikt.assertions.isEqualTo
-import java.io.IOException
-import java.io.OutputStream
-import java.net.Socket
+import strikt.assertions.startsWith
+import java.net.SocketException
 import java.util.concurrent.LinkedBlockingQueue
-
-/** Time after which an upstream that broke attempts is used again. */
-private const val PAUSE_OVER_MILLIS = 5_000L
+import kotlin.random.Random
 
 private const val DEADLINE_MILLIS = 2_500
 
 /** Size of a plain response that is forwarded as it arrives. */
 private const val LARGE_BYTES = 200_000
 
+private const val FUZZ_SEED = 39L
+private const val FUZZ_CASES = 200
+private const val MAX_FUZZ_EVENTS = 6
+
 private const val HALF_EVENT = "id: 3\nda"
 
 /** The first event and a part of the second one. */
 private const val REPEATED = "id: 1\ndata: 1\n\nid: 2\nda"
 
-/** What a caller of [FakeCaller.seenResponse] sees. */
-private data class Seen(
-    val status: String,
-    val body: String,
-    val complete: Boolean,
-)
-
-private val NO_RESPONSE = Seen("none", "", complete = false)
-
-internal class BrokenOffResponseTest : GatewayFixture() {
-    private enum class Framing { Length, Chunks, None }
-
-    /** How a response ends: as its framing says, with an orderly close before that, or with a reset. */
-    private enum class End { Framed, Closed, Reset }
-
-    /** A signed response with [body]; its framing is that of a longer one if the response doesn't end as framed. */
-    private class Sent(
-        val framing: Framing,
-        val body: String,
-        val end: End = End.Framed,
-    ) {
-        override fun toString(): String = "$framing, $end, ${body.takeLast(12).replace('\n', '|')}"
-    }
-
-    private fun Sent.writeTo(
-        out: OutputStream,
-        socket: Socket,
-    ): Boolean {
-        val header =
-            when (framing) {
-                Framing.Length -> "Content-Length: ${body.length + if (end == End.Framed) 0 else 1}\n"
-                Framing.Chunks -> "Transfer-Encoding: chunked\n"
-                Framing.None -> ""
-            }
-        out.send("HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\n$header\n")
-        val chunked = framing == Framing.Chunks
-        if (chunked && body.isNotEmpty()) out.raw("${body.length.toString(16)}\r\n$body\r\n")
-        if (!chunked) out.raw(body)
-        if (chunked && end == End.Framed) out.raw("0\r\n\r\n")
-        if (end == End.Reset) socket.setSoLinger(true, 0)
-        return framing != Framing.None && end == End.Framed
-    }
-
-    private val responses = LinkedBlockingQueue<Sent>()
-
-    /** Lets upstreams send [inTurn] as they receive requests, and close the connections of all further ones. */
-    private fun respondWith(inTurn: List<Sent>) {
-        if (upstreams.isEmpty()) {
-            val respond = { out: OutputStream, socket: Socket -> responses.poll()?.writeTo(out, socket) ?: false }
-            serveFrom(List(3) { FakeUpstream { _, out, socket -> respond(out, socket) } })
-        }
-        responses.clear()
-        responses += inTurn
-        advance(PAUSE_OVER_MILLIS)
-    }
-
-    /** Sends [request] and reads the response, the last one on its connection, as a caller of its version does. */
-    private fun seenBy(request: String): Seen = FakeCaller(callers).use { caller ->
-        caller.send(request.replaceFirst("\n", "\nConnection: close\n"))
-        caller.seenResponse()
-    }
-
-    private fun FakeCaller.seenResponse(): Seen {
-        val bytes = StringBuilder()
-        val orderly = readAll(bytes)
-        val received = bytes.toString()
-        val head = received.substringBefore("\r\n\r\n", "").lowercase()
-        if (head.isEmpty()) return NO_RESPONSE
-        val body = received.substring(head.length + "\r\n\r\n".length)
-        val status = head.split(' ')[1]
-        val length = head.substringAfter("content-length: ", "").substringBefore('\r').toIntOrNull()
-        return when {
-            length != null -> Seen(status, body, body.length == length)
-            "transfer-encoding: chunked" in head -> withoutChunks(status, body)
-            else -> Seen(status, body, orderly)
-        }
-    }
-
-    /** Returns whether the connection ended in an orderly way. */
-    private fun FakeCaller.readAll(received: StringBuilder): Boolean = try {
-        val input = socket.getInputStream()
-        generateSequence { input.read().takeIf { it >= 0 } }.forEach { received.append(it.toChar()) }
-        true
-    } catch (_: IOException) {
-        false
-    }
-
-    private fun withoutChunks(
-        status: String,
-        chunks: String,
-    ): Seen {
-        val body = StringBuilder()
-        var rest = chunks
-        while (rest.isNotEmpty()) {
-            val size = rest.substringBefore("\r\n").toInt(16)
-            if (size == 0) return Seen(status, body.toString(), complete = rest == "0\r\n\r\n")
-            rest = rest.substringAfter("\r\n")
-            body.append(rest.take(size))
-            rest = rest.drop(size + 2)
-        }
-        return Seen(status, body.toString(), complete = false)
-    }
-
+internal class BrokenOffResponseTest : BrokenOffFixture() {
     private fun events(ids: IntRange) = ids.joinToString("") { "id: $it\ndata: $it\n\n" }
 
     private class Case(
@@ -189,6 +90,7 @@
             val sent = { body: String -> Sent(framing, body) }
             val begun = events(1..2)
             val cut = begun + HALF_EVENT
+            val nothing = sent("")
             listOf(
                 resumed("with the rest", cut, sent(events(3..4)), events(1..4), complete = true),
                 resumed("with all events", cut, sent(events(1..4)), events(1..4), complete = true),
@@ -198,35 +100,9 @@
                 resumed("with the last event again in an event", cut, sent(events(2..2)), begun, complete = false),
                 resumed("with fewer events", begun, sent(events(1..1)), begun, complete = false),
                 resumed("with a part of an event", begun, sent(HALF_EVENT), begun, complete = false),
-                resumed(
-                    "with a part, then nothing",
-                    begun,
-                    sent(HALF_EVENT),
-                    begun,
-                    complete = false,
-                    third = sent(""),
-                ),
-                resumed(
-                    "with a repeated part, then nothing",
-                    begun,
-                    sent(REPEATED),
-                    begun,
-                    complete = true,
-                    third = sent(""),
-                ),
-                resumed(
-                    "with nothing, then the rest",
-                    cut,
-                    sent(""),
-                    events(1..4),
-                    complete = true,
-                    third =
-                        sent(
-                            events(
-                                3..4,
-                            ),
-                        ),
-                ),
+                resumed("with a part, then nothing", begun, sent(HALF_EVENT), begun, false, nothing),
+                resumed("with a repeated part, then nothing", begun, sent(REPEATED), begun, true, nothing),
+                resumed("with nothing, then the rest", cut, nothing, events(1..4), true, sent(events(3..4))),
             )
         }
 
@@ -256,11 +132,62 @@
         respondWith(case.responses)
         val request = request(case.path, deadlineMillis = DEADLINE_MILLIS).replace("HTTP/1.1", "HTTP/$version")
         val seen = seenBy(request)
-        expectThat(seen.status).isEqualTo(case.status)
+        // One request more than responses shows that the gateway left an upstream before its response came.
+        val requests = upstreams.map { it.requests.size }
+        expectThat(seen.status).describedAs("status after requests $requests").isEqualTo(case.status)
         if (case.status != "200") return
         expectThat(seen.complete).isEqualTo(case.complete)
         // A reset may take bytes along that the caller has not read.
         val body = if (version == "1.0" && !case.complete) case.body.take(seen.body.length) else case.body
         expectThat(seen.body).isEqualTo(body)
     }
+
+    // Guards against a response that the end of its host makes look complete.
+    @Test
+    fun `a host that ends during a stream resets a caller that speaks HTTP 1 point 0`() {
+        val never = LinkedBlockingQueue<Unit>()
+        serve({ _, out, _ ->
+            out.send(STREAM_HEAD)
+            out.raw(event(1))
+            never.take()
+            true
+        })
+        FakeCaller(callers).use { caller ->
+            caller.send(request("/oneoff/x").replace("HTTP/1.1", "HTTP/1.0"))
+            caller.readUntil("data: 1\n\n")
+            stop()
+            expectThrows<SocketException> { caller.readUntil("data: 2\n\n") }
+        }
+    }
+
+    @Test
+    fun `a response that ends anywhere is complete only if its framing and its events are`() {
+        val random = Random(FUZZ_SEED)
+        repeat(FUZZ_CASES) { index ->
+            val route = listOf("draft", "oneoff", "lookup", "pay").random(random)
+            val version = listOf("1.0", "1.1").random(random)
+            val whole = events(1..random.nextInt(1, MAX_FUZZ_EVENTS))
+            // Half of the responses end after an event.
+            val cut = random.nextInt(whole.length + 1)
+            val body =
+                if (random.nextBoolean()) {
+                    whole.take(cut)
+                } else {
+                    whole.take(cut).substringBeforeLast("\n\n", "") +
+                        "\n\n"
+                }
+            val sent = Sent(Framing.entries.random(random), body, End.entries.random(random))
+            respondWith(listOf(sent))
+            val request = request("/$route/x", deadlineMillis = DEADLINE_MILLIS).replace("HTTP/1.1", "HTTP/$version")
+            val seen = seenBy(request)
+            val framed = sent.end == End.Framed || (sent.end == End.Closed && sent.framing == Framing.None)
+            val isCall = route == "lookup" || route == "pay"
+            val complete = framed && (isCall || body.isEmpty() || body.endsWith("\n\n"))
+            expectThat(seen.complete && seen.status == "200")
+                .describedAs("$index: $route, HTTP/$version, $sent: $seen")
+                .isEqualTo(complete)
+            if (seen.status == "200") expectThat(body).startsWith(seen.body)
+            if (complete) expectThat(seen.body).isEqualTo(body)
+        }
+    }
 }
