Resume a stream only after an event that has an identifier

Where an upstream broke off after an event without an identifier, another one was asked to go on after the last event that had one, or from the beginning: the caller got the events without identifiers twice, and the end as complete.

EventScanner kept the last identifier and not whether it is the last event's. A stream now goes on elsewhere only if the last event with data that the caller has received has an identifier; otherwise the response breaks off. Comments don't matter, as they may come twice.

BrokenOffResponseTest before: 12 of 12 cases failed (after events without an identifier, alone and after others; 3 framings, HTTP/1.1 and 1.0), seen as complete; the 12 cases with comments passed. The upstreams of the users' platform name each event; this is by the format of event streams.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/EventScanner.kt
@@ -12,6 +12,7 @@
 private const val NEWLINE = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private val ID_FIELD = "id:".encodeToByteArray()
+private val DATA_FIELD = "data:".encodeToByteArray()
 
 /** Two line ends at the end of an event, as the last bytes received. */
 private const val EMPTY_LINE = 0x0A0A
@@ -47,6 +48,12 @@
     /** Whether the current upstream has so far only repeated events that precede the last one forwarded. */
     private var isBehind = false
 
+    /** Whether the last forwarded event has an identifier. */
+    private var isIdentified = true
+
+    /** Whether another upstream can go on after the last forwarded event. */
+    val canResume: Boolean get() = !corrupted && isIdentified
+
     /** Whether the stream may end here, as far as the received events show. */
     val mayEnd: Boolean get() = isAtBoundary && !isNextEventDue && !isBehind
 
@@ -123,12 +130,14 @@
         var start = first
         while (start < complete.writerIndex()) {
             val end = endOfFirstEvent(complete, start)
-            val id = idWithin(complete, start, end)
+            val id = valueOf(ID_FIELD, complete, start, end)
             val duplicate = isDuplicate(id)
             isBehind = duplicate && events > 0 && id != lastId
             if (duplicate && filtered == null) filtered = allocator.buffer().writeBytes(complete, first, start - first)
             if (!duplicate) {
                 recordId(id)
+                // A comment has neither data nor an identifier, and may come twice.
+                isIdentified = id != null || (isIdentified && valueOf(DATA_FIELD, complete, start, end) == null)
                 isNextEventDue = false
                 events++
                 filtered?.writeBytes(complete, start, end - start)
@@ -163,7 +172,8 @@
         return buffer.writerIndex()
     }
 
-    private fun idWithin(
+    private fun valueOf(
+        field: ByteArray,
         buffer: ByteBuf,
         start: Int,
         end: Int,
@@ -171,19 +181,20 @@
         var line = start
         while (line < end) {
             val lineEnd = buffer.indexOf(line, end, NEWLINE).let { if (it < 0) end else it }
-            if (startsWithId(buffer, line, lineEnd)) {
-                return buffer.toString(line + ID_FIELD.size, lineEnd - line - ID_FIELD.size, Charsets.US_ASCII).trim()
+            if (startsWith(field, buffer, line, lineEnd)) {
+                return buffer.toString(line + field.size, lineEnd - line - field.size, Charsets.US_ASCII).trim()
             }
             line = lineEnd + 1
         }
         return null
     }
 
-    private fun startsWithId(
+    private fun startsWith(
+        field: ByteArray,
         buffer: ByteBuf,
         start: Int,
         end: Int,
-    ): Boolean = end - start > ID_FIELD.size && ID_FIELD.indices.all { buffer.getByte(start + it) == ID_FIELD[it] }
+    ): Boolean = end - start > field.size && field.indices.all { buffer.getByte(start + it) == field[it] }
 }
 
 /** Tracks whether a stream whose bytes are forwarded as they arrive is at the end of an event. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseRelay.kt
@@ -37,7 +37,7 @@
     val events: Int get() = scanner?.events ?: 0
 
     /** Whether the response can continue from another upstream: nothing was sent yet, or the stream is resumable. */
-    val canResume: Boolean get() = !started || (request.route.streaming && scanner?.corrupted == false)
+    val canResume: Boolean get() = !started || (request.route.streaming && scanner?.canResume == true)
 
     /** Identifier of the last event that the caller has received. */
     val lastEventId: String? get() = if (request.route.streaming) scanner?.lastId ?: request.lastEventId() else null
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/BrokenOffResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/BrokenOffResponseTest.kt
@@ -27,6 +27,10 @@
 
 private const val HALF_EVENT = "id: 3\nda"
 
+private const val NO_ID = "data: 0\n\n"
+
+private const val COMMENT = ": sound\n\n"
+
 /** The first event and a part of the second one. */
 private const val REPEATED = "id: 1\ndata: 1\n\nid: 2\nda"
 
@@ -90,6 +94,8 @@
             val sent = { body: String -> Sent(framing, body) }
             val begun = events(1..2)
             val cut = begun + HALF_EVENT
+            val next = events(3..3)
+            val commented = begun + COMMENT
             val nothing = sent("")
             listOf(
                 resumed("with the rest", cut, sent(events(3..4)), events(1..4), complete = true),
@@ -99,6 +105,16 @@
                 resumed("with the last event again", begun, sent(events(2..2)), begun, complete = true),
                 resumed("with the last event again in an event", cut, sent(events(2..2)), begun, complete = false),
                 resumed("with fewer events", begun, sent(events(1..1)), begun, complete = false),
+                resumed("after an event without an identifier", NO_ID, sent(NO_ID + begun), NO_ID, complete = false),
+                resumed(
+                    "after one more without it",
+                    begun + NO_ID,
+                    sent(NO_ID + next),
+                    begun + NO_ID,
+                    complete = false,
+                ),
+                resumed("after a comment", COMMENT, sent(begun), COMMENT + begun, complete = true),
+                resumed("after events and a comment", commented, sent(next), commented + next, complete = true),
                 resumed("with a part of an event", begun, sent(HALF_EVENT), begun, complete = false),
                 resumed("with a part, then nothing", begun, sent(HALF_EVENT), begun, false, nothing),
                 resumed("with a repeated part, then nothing", begun, sent(REPEATED), begun, true, nothing),
