Bound the retries of all hosts together by the rule's sum

Callers and operators saw: BUDGET, arrivals beyond the shared budget, in the record after all hosts had started again.

Cause: a host's part of the budget didn't add up to the whole. It divided the slack by the hosts known at the first request and kept that; its part was at least one retry, however many hosts there were; what was drawn before a restart was forgotten; and retries granted for one window's requests were sent in the next. Class of fault: a shared limit split into parts whose sum nothing bounds.

Change: each host's part is a token bucket (SharedRetryBudget). Requests and time add tokens, the capacity bounds what is carried over, and the parts are computed from the present number of hosts whenever they are used. A bucket starts empty, so a restart adds nothing; no slack is added in the first two seconds, when a host may know only itself. A part smaller than one retry is drawn by lot. All retries share one bucket, of which escalations may use 0.7, so that failures and rejections may use what escalations leave. A permit that isn't used is given back.

Cost: right after a start a host may retry only from its second request on (0.765 tokens each at a ratio of 0.9).

RejectedWithoutBudgetTest demands exactly one arrival each, where one more was allowed.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -76,12 +76,12 @@
     override fun tryRetry(
         exchange: Exchange,
         reason: RetryReason,
-    ): Boolean {
-        val pool = exchange.pool?.name ?: return false
-        val granted = if (reason == RetryReason.Escalation) budgets.tryEscalation(pool) else budgets.tryRetry(pool)
-        meters.retryDecided(pool, reason, granted)
-        if (!granted) logExchange(exchange, "retry_denied", mapOf("reason" to reason.name))
-        return granted
+    ): RetryPermit? {
+        val pool = exchange.pool?.name ?: return null
+        val permit = budgets.tryAcquire(pool, reason)
+        meters.retryDecided(pool, reason, permit != null)
+        if (permit == null) logExchange(exchange, "retry_denied", mapOf("reason" to reason.name))
+        return permit
     }
 
     override fun enqueue(exchange: Exchange) {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -341,6 +341,7 @@
         failure: ErrorKind?,
     ) {
         phase = ExchangePhase.Ended
+        arrivals.end()
         request.body.release()
         context.exchangeEnded(ExchangeOutcome(this, status, failure))
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
@@ -58,11 +58,11 @@
         attempt: Attempt,
     )
 
-    /** Takes one retry from the budget of the route's pool; returns false when the budget is exhausted. */
+    /** Takes one retry from the budget of the route's pool; returns null when the budget is exhausted. */
     fun tryRetry(
         exchange: Exchange,
         reason: RetryReason,
-    ): Boolean
+    ): RetryPermit?
 
     /** Records the outcome and duration of an attempt for its upstream's version. */
     fun recordOutcome(
