Accept a response on a used connection only by its identifier

Cause: the identifier was asked for in refusals only, and a head that follows the cut head of another response is decoded as a part of it. Class of fault: an answer that counts as one's own unless something speaks against it.

Change: on a used connection, or after a response to another request, a response must carry the request's identifier, once. A request without an identifier is sent on a new connection.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -29,9 +28,6 @@
 /** Timeout for opening a connection to an upstream: some hundred round trips. */
 private const val CONNECT_TIMEOUT_MILLIS = 350
 
-/** Keep-alive time of an idle connection when the upstream specifies none. */
-private const val DEFAULT_KEEP_ALIVE_MILLIS = 4_000L
-
 /** Margin before the end of the keep-alive time within which an idle connection is no longer used. */
 private const val KEEP_ALIVE_MARGIN_MILLIS = 700L
 
@@ -115,7 +111,8 @@
         attempt: Attempt,
         maxIdleMillis: Long,
     ): UpstreamConnection? {
-        val connections = idle[address] ?: return null
+        // Only the identifier shows that a response on a used connection belongs to the request.
+        val connections = idle[address]?.takeIf { attempt.requestId.isNotEmpty() } ?: return null
         val now = nowMillis()
         val (usable, expired) = connections.partition { it.isUsable(now) && now - it.idleSinceMillis <= maxIdleMillis }
         connections.removeAll(expired)
@@ -189,11 +186,6 @@
         /** Returns whether a response on this connection was no success of an earlier attempt of the same request. */
         fun hasFailedFor(next: Attempt): Boolean = next.requestId in unsuccessfulRequests
 
-        private fun recordUnsuccessful(current: Attempt) {
-            unsuccessfulRequests.addLast(current.requestId)
-            if (unsuccessfulRequests.size > MAX_UNSUCCESSFUL_REQUESTS) unsuccessfulRequests.removeFirst()
-        }
-
         fun start(next: Attempt) {
             if (next.ended) {
                 next.request.release()
@@ -256,20 +248,26 @@
             current: Attempt,
             head: HttpResponse,
         ) {
-            val responseAttemptId = head.headers()[current.headerNames.attemptId]
-            val informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            val otherRequest = responseAttemptId != null && responseAttemptId != current.requestId
-            ignoringResponse = informational || otherRequest
-            if (ignoringResponse) {
-                if (!informational) reusable = false
-                // Only the request that it belongs to would show whether its body follows.
-                if (!informational && carriedHead) return closeAsBroken()
-                if (informational && ++interimResponses > MAX_INTERIM_RESPONSES) closeAsBroken()
-                return
+            val identity = head.identity(current.requestId, current.headerNames, fresh = !reused && reusable)
+            ignoringResponse = identity != ResponseIdentity.Own
+            when (identity) {
+                ResponseIdentity.Own -> receiveOwnHead(current, head)
+                ResponseIdentity.Interim -> if (++interimResponses > MAX_INTERIM_RESPONSES) closeAsBroken()
+                ResponseIdentity.OtherRequest -> {
+                    reusable = false
+                    // Only the request that it belongs to would show whether its body follows.
+                    if (carriedHead) closeAsBroken()
+                }
+                ResponseIdentity.Unknown -> closeAsBroken()
             }
-            // It may be a refusal of an earlier request once more: only its identifier would show which one it refuses.
-            if (responseAttemptId == null && reused && head.refusal(current.headerNames) != null) return closeAsBroken()
-            if (!head.isSuccess()) recordUnsuccessful(current)
+        }
+
+        private fun receiveOwnHead(
+            current: Attempt,
+            head: HttpResponse,
+        ) {
+            if (!head.isSuccess()) unsuccessfulRequests.addLast(current.requestId)
+            if (unsuccessfulRequests.size > MAX_UNSUCCESSFUL_REQUESTS) unsuccessfulRequests.removeFirst()
             response = head
             reusable = reusable && HttpUtil.isKeepAlive(head) && head.isFramed()
             head.keepAliveMillis()?.let { keepAliveMillis = it }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponse.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponse.kt
@@ -8,6 +8,9 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 
+/** Keep-alive time of an idle connection when the upstream specifies none. */
+internal const val DEFAULT_KEEP_ALIVE_MILLIS = 4_000L
+
 private const val MILLIS_PER_SECOND = 1_000L
 private const val KEEP_ALIVE = "Keep-Alive"
 private const val KEEP_ALIVE_TIMEOUT = "timeout="
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
@@ -7,6 +7,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
@@ -50,6 +51,11 @@
         surplusReceived()
     }
 
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+        message.decoderResult =
+            DecoderResult.failure(IllegalArgumentException("expected Content-Length or a chunked body, got both"))
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         withoutBody || super.isContentAlwaysEmpty(message)
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/SurplusBytesTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/SurplusBytesTest.kt
@@ -114,7 +114,7 @@
     @MethodSource("junk")
     fun `bytes that are no response are not taken for a part of one`(junk: String) {
         serveCases()
-        moments.forEach { check(Case(junk, it, "/pay/x", response("second", "200 OK", "of-second"))) }
+        Moment.entries.forEach { check(Case(junk, it, "/pay/x", response("second", "200 OK", "of-second"))) }
     }
 
     @Test
@@ -137,7 +137,7 @@
         val surplus = (heads + junk()).shuffled(random).take(random.nextInt(1, 3)).joinToString("")
         val cut = surplus.take(random.nextInt(1, surplus.length + 1))
         val method = listOf("POST", "GET").random(random)
-        return Case(cut, moments.random(random), path, response("second", status, "of-second"), method)
+        return Case(cut, Moment.entries.random(random), path, response("second", status, "of-second"), method)
     }
 
     // Guards against a queued request that is sent on a connection whose last read has not been examined in full.
@@ -158,7 +158,6 @@
     }
 
     private companion object {
-        val moments = listOf(Moment.InSameRead, Moment.BeforeNextRequest)
         const val FUZZ_SECONDS = 3L
         const val REQUESTS = 24
 
@@ -171,7 +170,7 @@
             } + "HTTP/1.1 200 OK\nx-seal: of-first-200 OK\n"
 
         @JvmStatic
-        fun surpluses() = moments.flatMap { moment -> heads.distinct().map { Surplus(it, moment) } }
+        fun surpluses() = Moment.entries.flatMap { moment -> heads.distinct().map { Surplus(it, moment) } }
 
         @JvmStatic
         fun junk() = listOf(
