Refuse responses with a content coding

Cause: no code looked at Content-Encoding. Class of fault: a statement of the protocol without a check.

Change: such a response breaks its attempt, which is sent again if it may be. A refusal counts regardless of its body, which callers never see.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseIdentity.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseIdentity.kt
@@ -22,7 +22,7 @@
     /** It carries the identifier of another request. */
     OtherRequest,
 
-    /** It may belong to another request, or is joined from several responses, or is none. */
+    /** It may belong to another request, or is joined from several responses, or is not the upstream's own. */
     Unknown,
 }
 
@@ -38,6 +38,8 @@
     val ids = headers().getAll(headerNames.attemptId)
     return when {
         isJoined() || hasUnknownFraming() || ids.size > 1 -> ResponseIdentity.Unknown
+        // A refusal counts regardless of its body, which is not passed on.
+        headers().contains(HttpHeaderNames.CONTENT_ENCODING) && refusal(headerNames) == null -> ResponseIdentity.Unknown
         status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code() -> ResponseIdentity.Unknown
         status().codeClass() == HttpStatusClass.INFORMATIONAL -> ResponseIdentity.Interim
         ids.isEmpty() -> if (fresh) ResponseIdentity.Own else ResponseIdentity.Unknown
