Judge the new version of a roll-out by the pace of its streams

Cause: the new version, with little load, is compared with the old one, which has the rest. It is a comparison of groups that differ in load.

Change: hosts time the shortest span of four pauses in each stream, which hardly depends on load, and report number and total with their tallies. If the old version has such streams, a roll-out completes only with at least three on the new version, which are at most 1.2 times as slow. Older hosts understand the tallies (defaults, unknown keys ignored).

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/RolloutPolicy.kt
@@ -64,6 +64,15 @@
 /** Probability up to which a version counts as slower if chance alone would end as few attempts as it has ended. */
 private const val MAX_CHANCE_OF_SLOWNESS = 0.05
 
+/** Streams with a known pace below which a version that streams does not show that it is as fast as the old one. */
+private const val MIN_PACED_STREAMS = 3
+
+/**
+ * Ratio of the new version's shortest spans to the old one's above which it does not complete; lower than for
+ * durations, since spans do not depend on the length of an answer.
+ */
+private const val MAX_SPAN_RATIO = 1.2
+
 /** Successful attempts per unfinished one that a roll-out needs to complete. */
 private const val MIN_GOOD_PER_UNFINISHED = 3
 
@@ -73,6 +82,8 @@
  * @property good attempts that succeeded
  * @property unfinished attempts without a response after the usual response time, whether still open or abandoned
  * @property timeMillis total duration of the successful attempts, and of the unfinished ones so far
+ * @property paced streams of which a span, a fixed number of successive pauses between events, has been timed
+ * @property spanMillis total of the shortest span of each of these streams
  */
 @Serializable
 public data class RouteTally(
@@ -81,6 +92,8 @@
     val failed: Int = 0,
     val timeMillis: Long = 0,
     val unfinished: Int = 0,
+    val paced: Int = 0,
+    val spanMillis: Long = 0,
 ) {
     /** Number of attempts with a known duration, or a known lower bound of it. */
     public val timed: Int get() = good + unfinished
@@ -88,12 +101,17 @@
     /** Mean duration of the timed attempts in milliseconds; zero if there are none. */
     public val meanMillis: Double get() = if (timed == 0) 0.0 else timeMillis.toDouble() / timed
 
+    /** Mean of the shortest spans in milliseconds; zero if there are none. */
+    public val meanSpanMillis: Double get() = if (paced == 0) 0.0 else spanMillis.toDouble() / paced
+
     /** Adds the counts of another host for the same route. */
     public operator fun plus(other: RouteTally): RouteTally = copy(
         good = good + other.good,
         failed = failed + other.failed,
         timeMillis = timeMillis + other.timeMillis,
         unfinished = unfinished + other.unfinished,
+        paced = paced + other.paced,
+        spanMillis = spanMillis + other.spanMillis,
     )
 }
 
@@ -159,7 +177,20 @@
 private fun RolloutTally.canComplete(): Boolean {
     val good = new.sumOf { it.good }
     val enough = good > 0 && good >= new.sumOf { it.unfinished } * MIN_GOOD_PER_UNFINISHED
-    return enough && new.none { it.unfinished > it.good } && !endsTooFew()
+    return enough && new.none { it.unfinished > it.good } && !endsTooFew() && keepsPace()
+}
+
+/**
+ * Returns whether the streams of the new version come about as fast as the old one's. Durations and mean pauses grow
+ * with the load, of which the new version has little before it completes; the shortest spans hardly do. Versions
+ * without streams, and hosts that do not time spans, are not held to it.
+ */
+private fun RolloutTally.keepsPace(): Boolean {
+    if (old.none { it.paced >= MIN_TIMED_ATTEMPTS }) return true
+    val comparable = new.filter { oldTallyFor(it).paced >= MIN_TIMED_ATTEMPTS }
+    val usualMillis = comparable.sumOf { it.paced * oldTallyFor(it).meanSpanMillis }
+    val paced = comparable.sumOf { it.paced }
+    return paced >= MIN_PACED_STREAMS && comparable.sumOf { it.spanMillis } <= MAX_SPAN_RATIO * usualMillis
 }
 
 /**
--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
@@ -291,51 +291,55 @@
     /** Simulates the roll-out of incident 0007's second report: 3.2 s of evidence, three routes with long streams. */
     @Test
     fun `a version with some slow answers is not completed on the evidence of a few seconds`() {
-        val short = rollout.copy(durationMillis = 10_000)
-        val usualMillis = mapOf("draft" to 2_800L, "note" to 2_100L, "check" to 240L)
-        val completed =
-            (1L..20L).filter { seed ->
-                val random = Random(seed)
-                val tallies =
-                    usualMillis.map { (route, millis) ->
-                        val started =
-                            (0L..8_200L step 150).map { atMillis ->
-                                val new = atMillis >= 5_000 && random.nextDouble() < 0.225
-                                val slow = new && random.nextDouble() < 0.3
-                                Triple(atMillis, millis / 2 + random.nextLong(millis) * (if (slow) 4 else 1), new)
-                            }
-                        tallyAt(8_200, started, route)
-                    }
-                val tally = tallies.reduce(RolloutTally::plus)
-                short.nextPhase(tally, 8_200, newVersionReady = true) == FleetRolloutPhase.Completed
-            }
-        expectThat(completed).isEmpty()
+        expectThat((1L..20L).filter { completesAfterSeconds(it, slowRatio = 0.3) }).isEmpty()
     }
 
-    private fun tallyAt(
-        nowMillis: Long,
-        started: List<Triple<Long, Long, Boolean>>,
-        route: String = "r",
-    ): RolloutTally {
-        val (new, old) = started.partition { it.third }
-        val ended = old.filter { it.first + it.second <= nowMillis }
-        val usualMillis = if (ended.isEmpty()) 0.0 else ended.sumOf { it.second }.toDouble() / ended.size
-        return RolloutTally(
-            1,
-            listOf(tallyOf(old, nowMillis, usualMillis, route)),
-            listOf(tallyOf(new, nowMillis, usualMillis, route)),
-        )
+    @Test
+    fun `a sound version is not rolled back for the pace of its streams`() {
+        val rolledBackForPace =
+            (1L..20L).filter {
+                completesAfterSeconds(it, slowRatio = 0.0, paced = false) && !completesAfterSeconds(it, slowRatio = 0.0)
+            }
+        expectThat(rolledBackForPace).isEmpty()
     }
 
-    private fun tallyOf(
-        attempts: List<Triple<Long, Long, Boolean>>,
-        nowMillis: Long,
-        usualMillis: Double,
-        route: String,
-    ): RouteTally {
-        val (ended, open) = attempts.partition { it.first + it.second <= nowMillis }
-        val late = open.filter { nowMillis - it.first > usualMillis }
-        val timeMillis = ended.sumOf { it.second } + late.sumOf { nowMillis - it.first }
-        return RouteTally(route, good = ended.size, timeMillis = timeMillis, unfinished = late.size)
+    private fun completesAfterSeconds(
+        seed: Long,
+        slowRatio: Double,
+        paced: Boolean = true,
+    ): Boolean {
+        val short = rollout.copy(durationMillis = 10_000)
+        val usualMillis = mapOf("draft" to 2_800L, "note" to 2_100L, "check" to 240L)
+        val random = Random(seed)
+        val pauses = Random(-seed)
+        val tallies =
+            usualMillis.map { (route, millis) ->
+                val slowAt = HashSet<Long>()
+                val started =
+                    (0L..8_200L step 150).map { atMillis ->
+                        val new = atMillis >= 5_000 && random.nextDouble() < 0.225
+                        val slow = new && random.nextDouble() < slowRatio
+                        if (slow) slowAt += atMillis
+                        Triple(atMillis, millis / 2 + random.nextLong(millis) * (if (slow) 4 else 1), new)
+                    }
+                val pace =
+                    started.map {
+                        PacedStream(
+                            it,
+                            (23 + pauses.nextLong(12)) * (
+                                if (it.first in
+                                    slowAt
+                                ) {
+                                    4
+                                } else {
+                                    1
+                                }
+                            ),
+                        )
+                    }
+                tallyAt(8_200, started, route) + if (paced) paceAt(8_200, pace, route) else RolloutTally(1)
+            }
+        val tally = tallies.reduce(RolloutTally::plus)
+        return short.nextPhase(tally, 8_200, newVersionReady = true) == FleetRolloutPhase.Completed
     }
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
@@ -1,6 +1,6 @@
 /*
- * Watches the answers to one request for signs that its prompt crashes upstreams. A harmful prompt takes its upstream
- * down at the beginning of the answer, so an answer that goes on clears the prompt.
+ * Watches the answers to one request for signs that its prompt crashes upstreams, and for the pace of their events. A
+ * harmful prompt takes its upstream down at the beginning of the answer, so an answer that goes on clears the prompt.
  */
 package io.carawaytrack.gateway
 
@@ -19,6 +19,8 @@
     private val request: CallerRequest,
     private val crashes: CrashDetector,
 ) {
+    /** Pace of the current attempt's events. */
+    val pace = StreamPace()
     private var firstEventAtMillis: Long? = null
     private var recordedAtMillis = Long.MIN_VALUE / 2
     private var sound = false
@@ -28,12 +30,17 @@
     val allowsRetry: Boolean get() = crashCount < MAX_CRASHES
 
     fun attemptStarted() {
+        pace.restart()
         firstEventAtMillis = null
         sound = false
     }
 
-    /** Records that complete events of the answer have arrived [now]. */
-    fun eventsReceived(now: Long) {
+    /** Records that [count] complete events of the answer have arrived [now]. */
+    fun eventsReceived(
+        count: Int,
+        now: Long,
+    ) {
+        pace.eventsReceived(count, now)
         val firstAtMillis = firstEventAtMillis ?: now.also { firstEventAtMillis = it }
         sound = now - firstAtMillis >= SOUND_AFTER_MILLIS
         if (!sound || now - recordedAtMillis < PROGRESS_RECORD_INTERVAL_MILLIS) return
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -131,8 +131,7 @@
         tookMillis: Long,
     ) {
         meters.attemptEnded(upstream, good)
-        val rollout = upstreams.rolloutOf(upstream.pool) ?: return
-        rollouts.recordOutcome(rollout, exchange.request.route.name, upstream.version, good, tookMillis)
+        openAttempt(exchange)?.let { rollouts.recordOutcome(it, good) }
     }
 
     override fun recordStatements(
@@ -167,8 +166,17 @@
     private fun openAttempt(exchange: Exchange): OpenAttempt? {
         val upstream = exchange.target?.upstream ?: return null
         val rollout = upstreams.rolloutOf(upstream.pool) ?: return null
-        val elapsedMillis = nowMillis() - exchange.sentAtMillis
-        return OpenAttempt(rollout, exchange.request.route.name, upstream.version, elapsedMillis)
+        val now = nowMillis()
+        val elapsedMillis = now - exchange.sentAtMillis
+        val pace = exchange.watch.pace
+        return OpenAttempt(
+            rollout,
+            exchange.request.route.name,
+            upstream.version,
+            elapsedMillis,
+            pace.shortestSpanMillis,
+            pace.unfinishedSpanMillis(now),
+        )
     }
 
     override fun responseStarted(
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -66,7 +66,7 @@
         private set
     private var lastProgressAtMillis = 0L
     private var response: HttpResponse? = null
-    private val watch = AnswerWatch(request, context.crashes)
+    val watch = AnswerWatch(request, context.crashes)
     private var callerDisconnected = false
     private var mayHaveRun = false
 
@@ -184,7 +184,7 @@
         val valid = relay.receiveContent(head, bytes)
         // An upstream that is stalled may still send bytes now and then, but no complete events.
         if (!relay.isStream(head) || events > eventsBefore) lastProgressAtMillis = context.nowMillis()
-        if (events > eventsBefore) watch.eventsReceived(lastProgressAtMillis)
+        if (events > eventsBefore) watch.eventsReceived(events - eventsBefore, lastProgressAtMillis)
         if (valid) return
         // The body cannot belong to a valid response; a refusal counts regardless of its body.
         val refusal = head.refusal(context.headerNames) ?: return onFailed(AttemptEnd.Broken)
