Let a replica vote that doesn't know yet that it is a voter

What callers see: changes are refused or unanswered for good, while all processes run. No leader is elected.

Cause: a replica granted its vote only if its own log named it a voter. The leader counts a newcomer as a voter from the entry that promotes it. The newcomer may still have an empty log then: a learner counts as active when it is added, and as caught up if the log is short. When the leader is lost before that entry has reached the newcomer, by a full disk or by the lack of a quorum, the others need its vote, and it never gives it: it knows no members, and nobody leads who could send it the log. The class of fault: a decision on the group by the local log, where the log of the one who asks counts.

Change: a replica grants votes whatever its own log says of it, as the Raft dissertation asks for (4.1). A replica that is no voter by its own log still starts no election.

--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftCore.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftCore.kt
@@ -166,6 +166,10 @@
         }
     }
 
+    /**
+     * Like [onVoteRequest], does not ask whether this replica is a voter by its own log: it may have been promoted by an
+     * entry that it lacks, and be needed for a quorum. The candidate counts the votes of its own log's voters only.
+     */
     private fun onPreVoteRequest(
         from: NodeId,
         request: PreVoteRequest,
@@ -174,7 +178,6 @@
         val granted =
             proposedTerm > state.term &&
                 !isLeaderActive() &&
-                mayVote() &&
                 isUpToDate(request.lastIndex, request.lastTerm)
         state.sendAfterPersist(from, PreVoteReply(state.term, proposedTerm, granted))
     }
@@ -199,7 +202,7 @@
     ) {
         val current = acceptsTerm(request)
         val voteAvailable = state.votedFor == null || state.votedFor == from
-        val granted = current && voteAvailable && mayVote() && isUpToDate(request.lastIndex, request.lastTerm)
+        val granted = current && voteAvailable && isUpToDate(request.lastIndex, request.lastTerm)
         if (granted) {
             state.recordVote(from)
             resetElectionDeadline()
@@ -220,7 +223,7 @@
     private fun startElection(preVote: Boolean) {
         resetElectionDeadline()
         state.leader = null
-        if (!mayVote()) return
+        if (!mayLead()) return
         if (!preVote) state.enterTerm(state.term + 1, vote = state.node)
         val started = Election(preVote)
         election = started
@@ -261,7 +264,7 @@
         resetElectionDeadline()
     }
 
-    private fun mayVote() = state.members.isVoter(state.node)
+    private fun mayLead() = state.members.isVoter(state.node)
 
     private fun isLeaderActive() =
         leader != null || nowMillis - lastLeaderMessageAtMillis < state.settings.electionTimeoutMillis
