End the response to a caller's HEAD request with its head

Callers saw, on a kept connection: the text of an own refusal, or the last chunk of a stream, after the head of the response to a HEAD request, and took it for the beginning of the next response.

Cause: the encoder of responses to callers doesn't know the request's method. The class of fault is that of, towards callers: a message whose end depends on its request is handled without it.

Change: CallerResponseEncoder is told the method of the request that is being answered. A response to HEAD states no length, since the upstream's body isn't known.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -32,7 +32,6 @@
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -62,10 +61,11 @@
         .childHandler(
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
+                    val connection = CallerConnection(channel, this@CallerConnections)
                     channel.pipeline().addLast(
                         UnambiguousRequestDecoder(events.limits().maxHeaderBytes),
-                        HttpResponseEncoder(),
-                        CallerConnection(channel, this@CallerConnections),
+                        connection.encoder,
+                        connection,
                     )
                 }
             },
@@ -89,6 +89,7 @@
         val channel: Channel,
         private val owner: CallerConnections,
     ) : ChannelInboundHandlerAdapter() {
+        val encoder = CallerResponseEncoder()
         private val pipelined = ArrayDeque<Any>()
         private var head: HttpRequest? = null
         private var body: CompositeByteBuf? = null
@@ -130,6 +131,7 @@
 
         private fun beginRequest(request: HttpRequest): Boolean {
             head = null
+            encoder.answer(request.method())
             phaseSinceMillis = owner.nowMillis()
             receiving = true
             val rejectionStatus = rejectionStatusOf(request)
@@ -225,7 +227,8 @@
         ) {
             val response =
                 DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content, headers, EmptyHttpHeaders.INSTANCE)
-            HttpUtil.setContentLength(response, content.readableBytes().toLong())
+            // The length of the body that a HEAD request doesn't ask for is not known.
+            if (!encoder.withoutBody) HttpUtil.setContentLength(response, content.readableBytes().toLong())
             setConnection(headers)
             val sent = channel.writeAndFlush(response)
             if (keepAlive) responseSent() else sent.addListener(ChannelFutureListener.CLOSE)
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/BodilessResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/BodilessResponseTest.kt
@@ -5,9 +5,12 @@
 package io.carawaytrack.gateway
 
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
+import strikt.assertions.startsWith
 
 /** Time until the deadline; a response whose missing body is awaited ends only there. */
 private const val DEADLINE_MILLIS = 3_000
@@ -36,4 +39,31 @@
         }
         expectThat(upstreams[0].requests.size).isEqualTo(4)
     }
+
+    @ParameterizedTest
+    @CsvSource(
+        "/unknown/x, 404",
+        "/lookup/x, 200",
+        "/draft/x, 200",
+        "/oneoff/x, 200",
+    )
+    fun `the response to a caller's request for a head ends with its head on a kept connection`(
+        path: String,
+        status: String,
+    ) {
+        serve({ request, out, _ ->
+            val withBody = !request.start.startsWith("HEAD")
+            out.send(head(request["x-attempt"].orEmpty(), 5) + if (withBody) "hello" else "")
+            true
+        })
+        FakeCaller(callers).use { caller ->
+            repeat(2) {
+                caller.send(request(path, deadlineMillis = DEADLINE_MILLIS).replaceFirst("POST", "HEAD"))
+                val head = caller.readUntil("\r\n\r\n")
+                expectThat(head).startsWith("HTTP/1.1 $status")
+            }
+            caller.send(request("/lookup/x", deadlineMillis = DEADLINE_MILLIS))
+            expectThat(caller.readUntil("hello")).startsWith("HTTP/1.1 200").endsWith("hello")
+        }
+    }
 }
