--- a/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDiskTest.kt
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDiskTest.kt
@@ -88,11 +88,13 @@
             bootstrap: Boolean,
             old: NodeId? = null,
         ): NodeId {
+            var found: NodeId? = null
             await("a replica") {
                 member.initialise(bootstrap)
-                node != null && node != old
+                found = node
+                found != null && found != old
             }
-            return node!!
+            return checkNotNull(found)
         }
 
         fun awaitLeadership() = await("leadership") { member.status?.leading == true }
