--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -298,7 +298,7 @@
         target = null
     }
 
-    /** Takes a permit for another arrival if the request may be sent again although an upstream may have executed it. */
+    /** Takes a permit for another arrival if the request may run again although an upstream may have executed it. */
     private fun tryRetry(reason: RetryReason): Boolean {
         val inTime = request.deadlineAtMillis - context.nowMillis() >= MIN_REMAINING_MILLIS
         val allowed = route.retryable && relay.canResume && watch.allowsRetry
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/SharedRetryBudget.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/SharedRetryBudget.kt
@@ -13,8 +13,8 @@
 private const val EARNED_RATIO = 0.85
 
 /**
- * Part of the ratio that the requests of the last window add to the capacity. The remaining 0.05 compensates for retries
- * that are sent later than they were granted.
+ * Part of the ratio that the requests of the last window add to the capacity. The remaining 0.05 compensates for
+ * retries that are sent later than they were granted.
  */
 private const val CARRIED_RATIO = 0.1
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/RetryBudgetsTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/RetryBudgetsTest.kt
@@ -1,6 +1,6 @@
 /*
  * Retries of all hosts together in sliding windows, in a simulation without network or clock: hosts start again, alone
- * or all at once, callers move between hosts, and requests are retried for any reason. The bound is that of the platform.
+ * or all at once, callers move between hosts, and requests are retried for any reason. The bound is the platform's.
  */
 package io.carawaytrack.gateway
 
@@ -10,7 +10,6 @@
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.TestFactory
 import strikt.api.expectThat
-import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
@@ -125,7 +124,8 @@
             val settings = RetrySettings(retryRatio = 0.9, minRetries = case.slack, windowMillis = WINDOW_MILLIS)
             val simulations = List(SEEDS) { FleetSimulation(case.hosts, settings, seed = it) }.onEach { it.run() }
             val worst = simulations.withIndex().maxBy { it.value.worstExcess() }
-            expectThat(worst.value.worstExcess()).describedAs("excess with seed ${worst.index}")
+            expectThat(worst.value.worstExcess())
+                .describedAs("excess with seed ${worst.index}")
                 .isLessThanOrEqualTo(0.0)
             // The budget is worth having: it grants a good part of what the requests allow.
             val granted = simulations.sumOf { it.retries.size } / simulations.sumOf { it.requests.size }.toDouble()
