--- a/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftCore.kt
+++ b/consensus/src/main/kotlin/io/carawaytrack/consensus/RaftCore.kt
@@ -167,8 +167,8 @@
     }
 
     /**
-     * Like [onVoteRequest], does not ask whether this replica is a voter by its own log: it may have been promoted by an
-     * entry that it lacks, and be needed for a quorum. The candidate counts the votes of its own log's voters only.
+     * Like [onVoteRequest], does not ask whether this replica is a voter by its own log: it may have been promoted by
+     * an entry that it lacks, and be needed for a quorum. The candidate counts the votes of its own log's voters only.
      */
     private fun onPreVoteRequest(
         from: NodeId,
--- a/mesh/src/main/kotlin/io/carawaytrack/mesh/ReplicaFolder.kt
+++ b/mesh/src/main/kotlin/io/carawaytrack/mesh/ReplicaFolder.kt
@@ -1,6 +1,6 @@
 /*
- * The data folder of this host and the replica that is open in it. One thread makes all changes to the folder. An attempt
- * to open it that fails closes the disk, which holds the folder's lock, and is followed by another one.
+ * The data folder of this host and the replica that is open in it. One thread makes all changes to the folder. An
+ * attempt to open it that fails closes the disk, which holds the folder's lock, and is followed by another one.
  */
 package io.carawaytrack.mesh
 
--- a/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDisksInTurnTest.kt
+++ b/mesh/src/test/kotlin/io/carawaytrack/mesh/FullDisksInTurnTest.kt
@@ -1,6 +1,6 @@
 /*
- * A group of hosts whose disks are full one after another, while changes are proposed. Each host has a real folder and a
- * real replica; the clock and the delays run faster than real time, and messages are handed over in memory.
+ * A group of hosts whose disks are full one after another, while changes are proposed. Each host has a real folder and
+ * a real replica; the clock and the delays run faster than real time, and messages are handed over in memory.
  */
 package io.carawaytrack.mesh
 
@@ -180,7 +180,7 @@
             while (nowMillis() < endMillis) change(minOf(endMillis, nowMillis() + ACKNOWLEDGE_MILLIS))
         }
 
-        /** Makes one change, like an operator who calls one host after the other; returns whether it was acknowledged. */
+        /** Makes one change, like an operator who calls host after host; returns whether it was acknowledged. */
         private fun change(deadlineMillis: Long): Boolean {
             val command = FleetCommand.Replace(++version, ByteArray(random.nextInt(20_000))).encode()
             val nextMillis = nowMillis() + CHANGE_INTERVAL_MILLIS
