Bound retries that wait in the queue after they were granted

A retry is sent up to a queue's wait after the budget granted it, so that a window (BUDGET) may hold the grants of a longer span than itself.

Cause: the parts of SharedRetryBudget came to 0.95 of the ratio and to all of the slack within one window of grants, which leaves too little for grants of the span before it. Class of fault as in: parts whose sum nothing bounds.

Change: a request adds 0.78 of the ratio in place of 0.85; 0.48 and 0.45 of the slack are added and carried over in place of two halves. Both sums stay below the whole for waits of up to a seventh of the window. Escalations may use 0.75 of it.

Evidence: RetryBudgetsTest has four more cases, with waits.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RetryBudgets.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RetryBudgets.kt
@@ -12,7 +12,7 @@
  * Part of the budget that escalations to a larger model may use. The rest is left to failures and rejections, so that a
  * fleet in trouble doesn't spend all of its retries on larger models.
  */
-private const val ESCALATION_SHARE = 0.7
+private const val ESCALATION_SHARE = 0.75
 
 internal class RetryBudgets(
     private val settings: RetrySettings,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/SharedRetryBudget.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/SharedRetryBudget.kt
@@ -9,17 +9,21 @@
 
 import io.carawaytrack.limits.RetrySettings
 
-/** Part of the ratio that each request adds to the bucket; a retry takes a whole token. */
-private const val EARNED_RATIO = 0.85
-
 /**
- * Part of the ratio that the requests of the last window add to the capacity. The remaining 0.05 compensates for
- * retries that are sent later than they were granted.
+ * Part of the ratio that each request adds to the bucket; a retry takes a whole token. It is sent up to a queue's wait
+ * after it was granted, so that a window may hold the retries granted in a longer span. This part and [CARRIED_RATIO],
+ * like the two parts of the slack, stay below the whole for waits of up to a seventh of the window.
  */
+private const val EARNED_RATIO = 0.78
+
+/** Part of the ratio that the requests of the last window add to the capacity. */
 private const val CARRIED_RATIO = 0.1
 
-/** Part of the slack that may be carried over from an earlier window; the rest is added evenly over each window. */
-private const val CARRIED_SLACK_RATIO = 0.5
+/** Part of the slack that is added evenly over each window. */
+private const val ADDED_SLACK_RATIO = 0.48
+
+/** Part of the slack that may be carried over from an earlier window. */
+private const val CARRIED_SLACK_RATIO = 0.45
 
 /** Slices in which the requests of the last window are counted. */
 private const val SLICE_COUNT = 10
@@ -93,7 +97,7 @@
         newestSlice = slice
         val elapsedMillis = maxOf(0, now - refilledAtMillis)
         refilledAtMillis += elapsedMillis
-        add(hostSlack * (1 - CARRIED_SLACK_RATIO) * elapsedMillis / settings.windowMillis)
+        add(hostSlack * ADDED_SLACK_RATIO * elapsedMillis / settings.windowMillis)
     }
 
     private fun add(added: Double) {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/RetryBudgetsTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/RetryBudgetsTest.kt
@@ -22,9 +22,12 @@
 /** Time for which a host that has just started knows of no other host. */
 private const val ALONE_MILLIS = 1_000L
 
+/** Longest wait of a request whose retry has been granted: a seventh of the window. */
+private const val MAX_WAIT_MILLIS = WINDOW_MILLIS / 7
+
 private val pool = PoolName("llm")
 
-/** Times of the events of one simulation, in ascending order. */
+/** Times of the events of one simulation; in ascending order where windows are asked for. */
 private class Times {
     private val millis = ArrayList<Long>()
     val size get() = millis.size
@@ -35,6 +38,8 @@
 
     fun all(): List<Long> = millis
 
+    fun sort() = millis.sort()
+
     /** Number of events in the window that starts at [fromMillis]. */
     fun inWindow(fromMillis: Long): Int = before(fromMillis + WINDOW_MILLIS) - before(fromMillis)
 
@@ -53,8 +58,10 @@
     private val hosts: Int,
     private val settings: RetrySettings,
     seed: Int,
+    private val maxWaitMillis: Long,
 ) {
     private val random = Random(seed)
+    private val waits = Random(-seed)
     private var nowMillis = 1_000_000L
     private val startedAtMillis = LongArray(hosts) { nowMillis }
     private val budgets = Array(hosts, ::start)
@@ -86,6 +93,7 @@
             // A fault that ends many requests at once.
             if (random.nextInt(100) == 0) repeat(hosts * 20) { retry(it % hosts) }
         }
+        retries.sort()
     }
 
     private fun restartSome() {
@@ -97,7 +105,7 @@
 
     private fun retry(host: Int) {
         val permit = budgets[host].tryAcquire(pool, RetryReason.entries.random(random)) ?: return
-        if (random.nextInt(20) == 0) permit.cancel() else retries.add(nowMillis)
+        if (random.nextInt(20) == 0) permit.cancel() else retries.add(nowMillis + waits.nextLong(maxWaitMillis + 1))
     }
 
     /** Highest number of retries in a window beyond those that its requests and the slack allow. */
@@ -111,6 +119,7 @@
     private class Case(
         val hosts: Int,
         val slack: Int,
+        val maxWaitMillis: Long = 0,
     )
 
     @TestFactory
@@ -119,10 +128,14 @@
         Case(hosts = 8, slack = 62),
         Case(hosts = 35, slack = 110),
         Case(hosts = 300, slack = 110),
+        Case(hosts = 1, slack = 62, MAX_WAIT_MILLIS),
+        Case(hosts = 8, slack = 62, MAX_WAIT_MILLIS),
+        Case(hosts = 35, slack = 110, MAX_WAIT_MILLIS),
+        Case(hosts = 300, slack = 110, MAX_WAIT_MILLIS),
     ).map { case ->
-        dynamicTest("${case.hosts} hosts, slack ${case.slack}") {
+        dynamicTest("${case.hosts} hosts, slack ${case.slack}, sent after up to ${case.maxWaitMillis} ms") {
             val settings = RetrySettings(retryRatio = 0.9, minRetries = case.slack, windowMillis = WINDOW_MILLIS)
-            val simulations = List(SEEDS) { FleetSimulation(case.hosts, settings, seed = it) }.onEach { it.run() }
+            val simulations = List(SEEDS) { FleetSimulation(case.hosts, settings, it, case.maxWaitMillis) }.onEach { it.run() }
             val worst = simulations.withIndex().maxBy { it.value.worstExcess() }
             expectThat(worst.value.worstExcess())
                 .describedAs("excess with seed ${worst.index}")
