Ask for a retry of a stalled request once in each stall timeout

Operators saw retry_denied in the log, and denials in caraway_host_retries_total, ten times a second for each stalled request without a retry left; and such requests took what the budget regained before those whose attempts had failed, which ask once.

Cause: each tick found the request still stalled and asked again. Change: after a denial the stall timeout starts anew.

GatewayFixture counts denied retries; its checks are unchanged.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -64,6 +64,7 @@
     var sentAtMillis = 0L
         private set
     private var lastProgressAtMillis = 0L
+    private var stallDeniedAtMillis = 0L
     private var response: HttpResponse? = null
     val watch = AnswerWatch(request, context.crashes)
     private var callerDisconnected = false
@@ -137,12 +138,15 @@
         if (!route.retryable || !relay.canResume) return false
         val timeoutMillis =
             route.stallTimeoutMillis(upstream.health, hasEvents = events > 0, firstAttempt = attempts == 1)
-        return timeoutMillis != null && now - lastProgressAtMillis > timeoutMillis
+        return timeoutMillis != null && now - maxOf(lastProgressAtMillis, stallDeniedAtMillis) > timeoutMillis
     }
 
     private fun abandonUnresponsiveUpstream() {
         val abandoned = target ?: return
-        if (!tryRetry(RetryReason.Stall)) return
+        if (!tryRetry(RetryReason.Stall)) {
+            stallDeniedAtMillis = context.nowMillis()
+            return
+        }
         context.logExchange(this, "upstream_silent", mapOf("owedMillis" to abandoned.unansweredMillis))
         abandoned.recordFailure()
         context.attemptAbandoned(this)
@@ -163,9 +167,7 @@
         if (relay.isStream(response) && !relay.started) context.escalationModel(this, confidence)?.let(::escalateTo)
     }
 
-    /**
-     * Discards a response of which the caller has received nothing, and requests one from the larger model at [index].
-     */
+    /** Replaces a response of which the caller has received nothing by one of the larger model at [index]. */
     private fun escalateTo(index: Int) {
         releaseAttempt(cancel = true)
         modelIndex = index
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -61,6 +61,7 @@
     protected val callers = ServerSocket(0).use { HostPort("127.0.0.1", it.localPort) }
     protected val upstreams = ArrayList<FakeUpstream>()
     protected val crashesRecorded = AtomicInteger()
+    protected val retriesDenied = AtomicInteger()
     protected val gateway =
         Gateway(
             GatewaySettings(
@@ -72,6 +73,7 @@
             headerNames,
             group,
             FleetKnowledge(upstreams = { emptyList() }, rolloutElapsedMillis = { 0 }),
+            GatewayMeters(retryDecided = { _, _, granted -> if (!granted) retriesDenied.incrementAndGet() }),
             crashRecorded = { crashesRecorded.incrementAndGet() },
         ) { nowMillis() }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/RejectedRequestTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/RejectedRequestTest.kt
@@ -14,12 +14,19 @@
 import strikt.assertions.isIn
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
+import java.util.concurrent.CountDownLatch
 
 /** `max_attempts` of the fixture's routes. */
 private const val MAX_ATTEMPTS = 3
 
 private const val UPSTREAMS = 6
 
+/** More than the time after which a call of the fixture's routes is retried, and less than twice that. */
+private const val STALL_TIMEOUT_MILLIS = 12_500L
+
+/** Number of checks for stalled requests within the following stall timeout; the route times out after them. */
+private const val TICKS = 10
+
 /** Time for which one call waits for an upstream with free capacity. */
 private const val CALL_WAIT_MILLIS = 700L
 
@@ -66,4 +73,24 @@
         expectThat(tookMillis).isLessThan(UPSTREAMS * CALL_WAIT_MILLIS)
         expectThat(upstreams.sumOf { it.requests.size }).isEqualTo(UPSTREAMS)
     }
+
+    @Test
+    fun `a stalled request asks for a retry once in each stall timeout`() {
+        val asked = CountDownLatch(1)
+        val released = CountDownLatch(1)
+        serve({ _, out, _ ->
+            asked.countDown()
+            released.await()
+            true.also { out.send(fullResponse("200 OK", "done")) }
+        })
+        FakeCaller(callers).use { caller ->
+            caller.send(request("/lookup/x", deadlineMillis = 60_000))
+            asked.await()
+            advance(STALL_TIMEOUT_MILLIS)
+            repeat(TICKS) { advance(GATEWAY_TICK_MILLIS) }
+            released.countDown()
+            expectThat(caller.response()?.body).isEqualTo("done")
+        }
+        expectThat(retriesDenied.get()).isEqualTo(1)
+    }
 }
