--- a/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
+++ b/fleet/src/test/kotlin/io/carawaytrack/fleet/RolloutPolicyTest.kt
@@ -323,19 +323,9 @@
                         Triple(atMillis, millis / 2 + random.nextLong(millis) * (if (slow) 4 else 1), new)
                     }
                 val pace =
-                    started.map {
-                        PacedStream(
-                            it,
-                            (23 + pauses.nextLong(12)) * (
-                                if (it.first in
-                                    slowAt
-                                ) {
-                                    4
-                                } else {
-                                    1
-                                }
-                            ),
-                        )
+                    started.map { stream ->
+                        val slowdown = if (stream.first in slowAt) 4 else 1
+                        PacedStream(stream, (23 + pauses.nextLong(12)) * slowdown)
                     }
                 tallyAt(8_200, started, route) + if (paced) paceAt(8_200, pace, route) else RolloutTally(1)
             }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/RetryBudgetsTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/RetryBudgetsTest.kt
@@ -135,7 +135,9 @@
     ).map { case ->
         dynamicTest("${case.hosts} hosts, slack ${case.slack}, sent after up to ${case.maxWaitMillis} ms") {
             val settings = RetrySettings(retryRatio = 0.9, minRetries = case.slack, windowMillis = WINDOW_MILLIS)
-            val simulations = List(SEEDS) { FleetSimulation(case.hosts, settings, it, case.maxWaitMillis) }.onEach { it.run() }
+            val simulations =
+                List(SEEDS) { seed -> FleetSimulation(case.hosts, settings, seed, case.maxWaitMillis) }
+            simulations.forEach { it.run() }
             val worst = simulations.withIndex().maxBy { it.value.worstExcess() }
             expectThat(worst.value.worstExcess())
                 .describedAs("excess with seed ${worst.index}")
