--- a/review/harness-2/Departure.java
+++ b/review/harness-2/Departure.java
@@ -7,7 +7,14 @@
 
 /** All processes are killed immediately after the departure of a replica was acknowledged; it goes on serving for seconds. */
 final class Departure {
-    private static final int CLIENTS = 16;
+    /** One of eight leaves: an eighth of the service, as much as the site's `scale_in` takes. */
+    private static final int REPLICAS = 8;
+    private static final int SLOTS = 6;
+    private static final int WORK_MILLIS = 120;
+    /** The usual load keeps seven eighths of the slots busy; the burst is 1.7 times that, for 3 s. */
+    private static final int USUAL_CLIENTS = 42;
+    private static final int BURST_CLIENTS = 71;
+    private static final int BURST_MILLIS = 3_000;
     private static final int DRAIN_MILLIS = 2_000;
     private static final int CONTACT_MILLIS = 3_000;
 
@@ -28,20 +35,20 @@
 
         Map<String, ConcurrentLinkedQueue<Long>> arrivals = new ConcurrentHashMap<>();
         List<Replica> replicas = new ArrayList<>();
-        for (int i = 0; i < 2; i++) {
+        for (int i = 0; i < REPLICAS; i++) {
             String id = "counter-" + i;
             arrivals.put(id, new ConcurrentLinkedQueue<>());
-            Replica replica = new Replica(lab, id, "stall-counter", "v1", zones[i], 6, "", (request, reply) -> {
+            Replica replica = new Replica(lab, id, "stall-counter", "v1", zones[i % zones.length], SLOTS, "", (request, reply) -> {
                 arrivals.get(id).add(Lab.millis());
                 lab.note("run " + request.id() + " at " + id);
-                if (reply.pause(43)) reply.whole(200, "", new byte[800]);
+                if (reply.pause(WORK_MILLIS)) reply.whole(200, "", new byte[800]);
             });
             replica.register(ips);
             replicas.add(replica);
         }
         if (!lab.awaitReady(all, 15_000)) lab.exit(2, "the hosts did not become ready");
         Lab.sleep(6_000);
-        int before = pay(lab, ips, 2_000);
+        int before = pay(lab, ips, USUAL_CLIENTS, 2_000);
         if (before < 20) lab.exit(2, "only " + before + " payments were answered before");
 
         Replica leaving = replicas.get(0);
@@ -56,10 +63,10 @@
             if (!lab.awaitReady(all, 15_000)) lab.exit(2, "the hosts did not become ready again");
         }
         // After a fault that took most of the core, machines are in touch again when twice contact_ms have passed.
-        Lab.sleep(2 * CONTACT_MILLIS + 500);
+        pay(lab, ips, USUAL_CLIENTS, 2 * CONTACT_MILLIS + 500);
         long inTouchAtMillis = Math.max(Lab.millis(), acknowledgedAtMillis + DRAIN_MILLIS);
         lab.note("all machines are in touch");
-        int after = pay(lab, ips, 4_000);
+        int after = pay(lab, ips, BURST_CLIENTS, BURST_MILLIS);
         leaving.close();
         lab.note(leaving.id + " exits " + (Lab.millis() - acknowledgedAtMillis) + " ms after the acknowledgement");
         long late = arrivals.get(leaving.id).stream().filter(at -> at >= inTouchAtMillis).count();
@@ -70,11 +77,11 @@
     }
 
     /** Lets the clients pay, one payment after the other, for the given time; returns how many were answered with 200. */
-    private static int pay(Lab lab, List<String> ips, long forMillis) throws InterruptedException {
+    private static int pay(Lab lab, List<String> ips, int count, long forMillis) throws InterruptedException {
         AtomicInteger answered = new AtomicInteger();
         long end = Lab.millis() + forMillis;
         List<Thread> clients = new ArrayList<>();
-        for (int i = 0; i < CLIENTS; i++) {
+        for (int i = 0; i < count; i++) {
             String ip = ips.get(i % ips.size());
             Thread client = new Thread(() -> {
                 while (Lab.millis() < end) {
