review: show that a second answer fills up one that was cut off

A replica that cuts off an answer with a stated length and then answers again on the same connection makes the host pass on the first bytes of the second answer as the end of the first. The bytes that follow are seen and the connection is closed, but the answer still counts as complete.

--- a/review/harness-2/Configurations.java
+++ b/review/harness-2/Configurations.java
@@ -14,6 +14,9 @@
     static final String PAYMENTS =
         "{\"name\":\"r-pay\",\"host\":\"stall.example\",\"path_prefix\":\"/pay/\",\"kind\":\"non_idempotent\",\"timeout_ms\":1200,"
             + "\"target_latency_ms\":193,\"priority\":2,\"service\":\"stall-counter\",\"max_attempts\":1,\"public\":false,\"sticky\":false}";
+    static final String LOOKUPS =
+        "{\"name\":\"r-look\",\"host\":\"stall.example\",\"path_prefix\":\"/look/\",\"kind\":\"idempotent\",\"timeout_ms\":1200,"
+            + "\"target_latency_ms\":193,\"priority\":2,\"service\":\"stall-counter\",\"max_attempts\":2,\"public\":false,\"sticky\":false}";
     /** What engines add to their heartbeats. */
     static final String MODELS =
         "\"phase\":\"unified\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]},{\"name\":\"m1\",\"version\":1,\"adapters\":[]},"
--- a/review/harness-2/Replica.java
+++ b/review/harness-2/Replica.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -55,6 +56,11 @@
             write(head(status, extraHeaders) + "Content-Length: " + content.length + "\r\n\r\n", content);
         }
 
+        /** Sends only the first bytes of a whole answer, and keeps the connection open. */
+        void cut(int status, byte[] content, int bytes) throws IOException {
+            write(head(status, "") + "Content-Length: " + content.length + "\r\n\r\n", Arrays.copyOf(content, bytes));
+        }
+
         void begin(String extraHeaders) throws IOException {
             write(head(200, extraHeaders) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", new byte[0]);
         }
