gateway: reject responses whose status line is not valid

What callers saw: an upstream in trouble sent a response with the status 000, and the caller got "HTTP/1.1 0 " with the upstream's signature and body as its response. An interim response with such a status took the place of the real one, which became its body.

Cause: the decoder accepts any number as a status, also 20, 600 or 02000, other white space in the status line and control characters in the reason phrase. Nothing else decided whether what it had made of the bytes was a response.

Change: StatusLine in ResponseGrammar.kt is the rule, examined byte by byte before the decoder sees the bytes. Any fault in a response ends its attempt as InvalidResponse, which may have run: it is sent elsewhere where the route allows it, or ends with 502. The connection is closed, the line attempt_failed has the request's identifier and the fault, and caraway_host_invalid_responses_total counts it. Responses that were rejected before (undecodable, of another request, too many interim ones) have the same end and name their fault, too. The text of their 502 says so, which EncodedResponseTest expects now; its check is as strict as before.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Attempt.kt
@@ -16,8 +16,11 @@
     /** A reused connection was closed before any byte of a response; the request may have been executed. */
     ClosedUnanswered,
 
-    /** The connection failed, or the received data was not a valid response to this request. */
+    /** The connection failed before the response was complete, or the response is incomplete by its own content. */
     Broken,
+
+    /** The received bytes are not a valid response to this request. */
+    InvalidResponse,
 }
 
 /** Receives the events of one attempt; all calls are made on the event loop. */
@@ -31,8 +34,14 @@
     /** Handles the end of a complete response. */
     fun onComplete()
 
-    /** Handles the end of the attempt without a complete response; no further calls follow. */
-    fun onFailed(end: AttemptEnd)
+    /**
+     * Handles the end of the attempt without a complete response, of which [fault] tells why it is not valid; no
+     * further calls follow.
+     */
+    fun onFailed(
+        end: AttemptEnd,
+        fault: ResponseFault? = null,
+    )
 
     /** Handles the end of a batch of data that arrived in one read. */
     fun onReadComplete()
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -240,15 +240,20 @@
         }
     }
 
-    override fun onFailed(end: AttemptEnd) {
+    override fun onFailed(
+        end: AttemptEnd,
+        fault: ResponseFault?,
+    ) {
         val upstream = target
         if (phase == ExchangePhase.Ended || upstream == null) return
         val neverSent = end == AttemptEnd.NotConnected
-        context.logExchange(this, "attempt_failed", mapOf("end" to end.name, "answerBegun" to (response != null)))
+        val fields = mapOf("end" to end.name, "fault" to fault?.name, "answerBegun" to (response != null))
+        context.logExchange(this, "attempt_failed", fields)
+        if (fault != null) context.meters.responseRejected(upstream.upstream.pool, fault.name)
         if (neverSent) {
             arrivals.notSent()
             upstream.pause()
-        } else if (end == AttemptEnd.Broken) {
+        } else if (end != AttemptEnd.ClosedUnanswered) {
             recordOutcome(good = false)
         }
         upstream.assumeCold(ASSUMED_COLD_MILLIS)
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeFailures.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeFailures.kt
@@ -35,8 +35,14 @@
 internal fun brokenOff(
     execution: Execution,
     end: AttemptEnd,
-): Failure =
-    Failure(ErrorKind.UpstreamFailed, execution, "the upstream connection failed before a complete response: $end")
+): Failure {
+    val detail =
+        when (end) {
+            AttemptEnd.InvalidResponse -> "the upstream sent an invalid response"
+            else -> "the upstream connection failed before a complete response: $end"
+        }
+    return Failure(ErrorKind.UpstreamFailed, execution, detail)
+}
 
 /** No upstream may accept the exchange. */
 internal fun noUpstream(exchange: Exchange): Failure = when {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/GatewaySettings.kt
@@ -89,6 +89,7 @@
  * @property retryDecided called for each retry that the budget of a pool granted (true) or denied
  * @property requestStarted called once for each request with its organisation, when a response first shows that an
  * upstream has begun to run it
+ * @property responseRejected called with the fault of each invalid response from an upstream of a pool
  * @property upstreamAbandoned called for each attempt that left an unresponsive upstream of a pool
  * @property answerKept called with the model of each answer that is kept only because the engines of a pool are busy
  * @property queueLeft called for each attempt and refusal of a pool whose callers compete
@@ -98,6 +99,7 @@
     public val attemptEnded: (FleetUpstream, Boolean) -> Unit = { _, _ -> },
     public val retryDecided: (PoolName, RetryReason, Boolean) -> Unit = { _, _, _ -> },
     public val requestStarted: (OrganisationName?) -> Unit = {},
+    public val responseRejected: (PoolName, String) -> Unit = { _, _ -> },
     public val upstreamAbandoned: (PoolName, AbandonReason) -> Unit = { _, _ -> },
     public val answerKept: (PoolName, String) -> Unit = { _, _ -> },
     public val queueLeft: (QueueExit) -> Unit = {},
--- /dev/null
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseGrammar.kt
@@ -0,0 +1,90 @@
+/*
+ * The grammar of an upstream's responses (RFC 9112), examined byte by byte before any of them is decoded. The decoder
+ * is more tolerant: it turns bytes that are no response into one, whose meaning is not the upstream's.
+ */
+package io.carawaytrack.gateway
+
+import io.netty.buffer.ByteBuf
+
+/** Kinds of faults for which an upstream's response is rejected. */
+internal enum class ResponseFault {
+    /** The status line is malformed, or its status is not between 100 and 599. */
+    StatusLine,
+
+    /** The decoder rejects it: it exceeds a limit, or its length is contradictory or no number. */
+    Undecodable,
+
+    /** It may belong to another request, is joined from several responses, or has a coding that is not supported. */
+    Unattributable,
+
+    /** More interim responses, or bytes of responses to other requests, precede it than an upstream in order sends. */
+    Excess,
+}
+
+private const val BYTE_MASK = 0xFF
+private const val LINE_FEED = '\n'.code
+private const val CARRIAGE_RETURN = '\r'.code
+private const val SPACE = ' '.code
+
+/** A part of a response that has a grammar of its own. */
+internal abstract class GrammarPart {
+    /** Whether the part's last byte has been examined. */
+    var isComplete = false
+        protected set
+
+    var fault: ResponseFault? = null
+        protected set
+
+    /**
+     * Examines the bytes of [buffer] from the index [start] up to [end], and returns the index after the last one that
+     * belongs to this part.
+     */
+    fun examine(
+        buffer: ByteBuf,
+        start: Int,
+        end: Int,
+    ): Int {
+        var index = start
+        while (index < end && !isComplete && fault == null) examine(buffer.getByte(index++).toInt() and BYTE_MASK)
+        return index
+    }
+
+    protected abstract fun examine(byte: Int)
+}
+
+/** `HTTP/1.x`, a status from 100 to 599 and the reason phrase, which may be absent with the space before it. */
+internal class StatusLine : GrammarPart() {
+    private var position = 0
+    private var returned = false
+
+    override fun examine(byte: Int) {
+        val mayEnd = position >= PATTERN.length
+        when {
+            returned && byte != LINE_FEED -> fault = ResponseFault.StatusLine
+            mayEnd && byte == LINE_FEED -> isComplete = true
+            mayEnd && byte == CARRIAGE_RETURN -> returned = true
+            !isAllowed(byte) -> fault = ResponseFault.StatusLine
+            else -> position++
+        }
+    }
+
+    private fun isAllowed(byte: Int): Boolean = when {
+        position > PATTERN.length -> isText(byte)
+        position == PATTERN.length -> byte == SPACE
+        PATTERN[position] == ANY_DIGIT -> byte.toChar() in '0'..'9'
+        PATTERN[position] == STATUS_CLASS -> byte.toChar() in '1'..'5'
+        else -> byte == PATTERN[position].code
+    }
+
+    private companion object {
+        const val PATTERN = "HTTP/1.d cdd"
+        const val ANY_DIGIT = 'd'
+        const val STATUS_CLASS = 'c'
+    }
+}
+
+/** Returns whether [byte] may occur in a reason phrase or in the value of a field. */
+private fun isText(byte: Int): Boolean = byte == TAB || (byte >= SPACE && byte != DELETE)
+
+private const val TAB = '\t'.code
+private const val DELETE = 0x7F
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -17,8 +17,10 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
@@ -164,7 +166,7 @@
         val address: HostPort,
     ) : ChannelInboundHandlerAdapter() {
         lateinit var channel: Channel
-        val decoder = UpstreamResponseDecoder(::receiveSurplus)
+        val decoder = UpstreamResponseDecoder(::receiveSurplus, ::reject)
         var idleSinceMillis = 0L
             private set
         private var keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS
@@ -175,6 +177,7 @@
         private var received = false
         private var reusable = true
         private var broken = false
+        private var fault: ResponseFault? = null
         private var written = false
         private var complete = false
         private var interimResponses = 0
@@ -235,12 +238,17 @@
             }
         }
 
-        private fun rejectMessage(message: Any) {
+        private fun rejectMessage(message: HttpObject) {
+            val truncated = message.decoderResult().cause() is PrematureChannelClosureException
             ReferenceCountUtil.release(message)
-            closeAsBroken()
+            if (!truncated) return reject(ResponseFault.Undecodable)
+            broken = true
+            channel.close()
         }
 
-        private fun closeAsBroken() {
+        /** Closes the connection on which a response with [reason] arrived: nothing more on it can be relied on. */
+        private fun reject(reason: ResponseFault) {
+            fault = fault ?: reason
             broken = true
             channel.close()
         }
@@ -253,13 +261,13 @@
             ignoringResponse = identity != ResponseIdentity.Own
             when (identity) {
                 ResponseIdentity.Own -> receiveOwnHead(current, head)
-                ResponseIdentity.Interim -> if (++interimResponses > MAX_INTERIM_RESPONSES) closeAsBroken()
+                ResponseIdentity.Interim -> if (++interimResponses > MAX_INTERIM_RESPONSES) reject(ResponseFault.Excess)
                 ResponseIdentity.OtherRequest -> {
                     reusable = false
                     // Only the request that it belongs to would show whether its body follows.
-                    if (carriedHead) closeAsBroken()
+                    if (carriedHead) reject(ResponseFault.Unattributable)
                 }
-                ResponseIdentity.Unknown -> closeAsBroken()
+                ResponseIdentity.Unknown -> reject(ResponseFault.Unattributable)
             }
         }
 
@@ -282,7 +290,7 @@
             if (ignoringResponse) {
                 skippedBytes += content.content().readableBytes()
                 content.release()
-                if (skippedBytes > MAX_SKIPPED_BYTES) closeAsBroken()
+                if (skippedBytes > MAX_SKIPPED_BYTES) reject(ResponseFault.Excess)
                 return
             }
             if (current.ended) {
@@ -333,7 +341,13 @@
             attempt = null
             if (current.ended) return
             current.end()
-            current.listener.onFailed(if (reused && !received) AttemptEnd.ClosedUnanswered else AttemptEnd.Broken)
+            val end =
+                when {
+                    fault != null -> AttemptEnd.InvalidResponse
+                    reused && !received -> AttemptEnd.ClosedUnanswered
+                    else -> AttemptEnd.Broken
+                }
+            current.listener.onFailed(end, fault)
         }
 
         @Deprecated("Netty's own signature")
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
@@ -1,7 +1,8 @@
 /*
  * Decoding of an upstream's responses. The caller states which request is awaited: whether a response has a body
  * depends on that request's method, and an upstream may send more responses than requests. Bytes that arrive while
- * none is awaited are not decoded, so that none of them can become a part of the next response.
+ * none is awaited are not decoded, so that none of them can become a part of the next response. Bytes that the grammar
+ * of responses excludes are not decoded either.
  */
 package io.carawaytrack.gateway
 
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.LastHttpContent
 
 private const val MAX_LINE_BYTES = 8_192
 private const val MAX_HEADER_BYTES = 65_536
@@ -23,11 +25,22 @@
         .setMaxHeaderSize(MAX_HEADER_BYTES)
         .setMaxChunkSize(MAX_CHUNK_BYTES)
 
-/** A decoder that calls [surplusReceived] for bytes that arrive while no response is awaited, and drops them. */
+/**
+ * A decoder that calls [surplusReceived] for bytes that arrive while no response is awaited, and drops them. It calls
+ * [faultFound] for a response that the grammar excludes, and drops all further bytes of the connection.
+ */
 internal class UpstreamResponseDecoder(
     private val surplusReceived: () -> Unit,
+    private val faultFound: (ResponseFault) -> Unit,
 ) : HttpResponseDecoder(decoderConfig) {
     private var awaiting = false
+    private var rejected = false
+
+    /** The part of the response that is being received; null where any byte is allowed. */
+    private var part: GrammarPart? = StatusLine()
+
+    /** Number of bytes that have been examined but not decoded. */
+    private var examinedBytes = 0
     private var withoutBody = false
 
     /** Decodes the next response as one to a request with [method]. */
@@ -46,9 +59,41 @@
         buffer: ByteBuf,
         out: MutableList<Any>,
     ) {
-        if (awaiting) return super.decode(context, buffer, out)
+        if (awaiting && !rejected && isValid(buffer)) return decodeExamined(context, buffer, out)
         buffer.skipBytes(buffer.readableBytes())
-        surplusReceived()
+        if (!rejected) surplusReceived()
+    }
+
+    /** Examines the received bytes as far as the decoder has not been told what follows them. */
+    private fun isValid(buffer: ByteBuf): Boolean {
+        val current = part ?: return true
+        val start = buffer.readerIndex() + examinedBytes
+        examinedBytes = current.examine(buffer, start, buffer.writerIndex()) - buffer.readerIndex()
+        val fault = current.fault
+        if (fault != null) {
+            rejected = true
+            faultFound(fault)
+        } else if (current.isComplete) {
+            part = null
+        }
+        return fault == null
+    }
+
+    private fun decodeExamined(
+        context: ChannelHandlerContext,
+        buffer: ByteBuf,
+        out: MutableList<Any>,
+    ) {
+        val start = buffer.readerIndex()
+        val decodedBefore = out.size
+        super.decode(context, buffer, out)
+        examinedBytes = maxOf(0, examinedBytes - (buffer.readerIndex() - start))
+        if (out.drop(decodedBefore).any { it is LastHttpContent }) expectHead()
+    }
+
+    private fun expectHead() {
+        part = StatusLine()
+        examinedBytes = 0
     }
 
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/EncodedResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EncodedResponseTest.kt
@@ -13,8 +13,8 @@
     @ParameterizedTest
     @CsvSource(
         "/lookup/x,200 OK,,200,second",
-        "/pay/x,200 OK,,502,the upstream connection failed before a complete response: Broken",
-        "/pay/x,500 Oops,,502,the upstream connection failed before a complete response: Broken",
+        "/pay/x,200 OK,,502,the upstream sent an invalid response",
+        "/pay/x,500 Oops,,502,the upstream sent an invalid response",
         "/pay/x,503 Service Unavailable,x-not-executed: 1,200,second",
     )
     fun `a response with a content coding is not passed on, unless it states that the request has not run`(
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -66,6 +66,7 @@
     protected val crashesRecorded = AtomicInteger()
     protected val retriesDenied = AtomicInteger()
     protected val startedOrganisations = ConcurrentLinkedQueue<String>()
+    protected val faults = ConcurrentLinkedQueue<String>()
     protected val gateway =
         Gateway(
             GatewaySettings(
@@ -79,6 +80,7 @@
             FleetKnowledge(upstreams = { emptyList() }, rolloutElapsedMillis = { 0 }),
             GatewayMeters(
                 retryDecided = { _, _, granted -> if (!granted) retriesDenied.incrementAndGet() },
+                responseRejected = { pool, fault -> faults += "${pool.value} $fault" },
                 requestStarted = { startedOrganisations += it?.value.orEmpty() },
             ),
             crashRecorded = { crashesRecorded.incrementAndGet() },
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
@@ -0,0 +1,128 @@
+/*
+ * Upstreams in trouble whose responses are not valid HTTP/1.1: what callers read from their sockets, where the request
+ * runs, and what is recorded. Callers judge the bytes by the grammar, independently of any decoder.
+ */
+package io.carawaytrack.gateway
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.MethodSource
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+
+private const val OWN_FIELDS = "x-attempt: id1\nx-seal: s\n"
+private const val STREAM_END = "0\r\n\r\n"
+private const val CLOSED_WITHIN_SECONDS = 5L
+
+internal class MalformedResponseTest : GatewayFixture() {
+    /** A request of a caller on [path], with what callers receive once another upstream has taken it over, if any. */
+    enum class Call(
+        val path: String,
+        val retriedBody: String?,
+        val method: String = "POST",
+    ) {
+        Retryable("/lookup/x", "done"),
+        RetryableHead("/lookup/x", "", "HEAD"),
+        NonRetryable("/pay/x", null),
+        NonRetryableHead("/pay/x", null, "HEAD"),
+        Resumable("/draft/x", "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"),
+        StreamThatMayRunOnce("/oneoff/x", null),
+    }
+
+    class Case(
+        val call: Call,
+        val response: String,
+        val fault: String,
+    ) {
+        override fun toString() = "$call: ${printable(response)}"
+    }
+
+    private val log = RecordedLog()
+    private val endsOfConnection = LinkedBlockingQueue<String>()
+
+    /** Sends [response], and records that the gateway closes the connection without another request on it. */
+    private fun sending(response: String) = FakeUpstream { _, out, socket ->
+        out.send(response)
+        endsOfConnection += endOf(socket)
+        false
+    }
+
+    private fun endOf(socket: Socket): String {
+        socket.soTimeout = TimeUnit.SECONDS.toMillis(CLOSED_WITHIN_SECONDS).toInt()
+        return runCatching { socket.getInputStream().read() }.fold({ if (it < 0) "closed" else "used" }, { "$it" })
+    }
+
+    private fun sound(call: Call) = FakeUpstream { _, out, _ ->
+        when {
+            call.method == "HEAD" -> out.send(fullResponse("200 OK", ""))
+            call == Call.Resumable -> out.send(STREAM_HEAD).also { out.raw(event(1) + event(2) + STREAM_END) }
+            else -> out.send(fullResponse("200 OK", "done"))
+        }
+        true
+    }
+
+    private fun received(call: Call): ReceivedBytes = FakeCaller(callers).use { caller ->
+        caller.send(request(call.path, headers = "Connection: close\n").replaceFirst("POST", call.method))
+        judge(caller.readUntil("(end)"), withBody = call.method != "HEAD")
+    }
+
+    private fun check(case: Case) {
+        serveFrom(listOf(sending(case.response), sound(case.call)))
+        val received = received(case.call)
+        expectThat(received.faults).describedAs("bytes at the caller: ${received.printable}").isEmpty()
+        val retriedBody = case.call.retriedBody
+        expectThat(received.status).isEqualTo(if (retriedBody == null) 502 else 200)
+        if (retriedBody == null) {
+            expectThat(received["x-seal"]).isNull()
+        } else {
+            expectThat(received["x-seal"]).isEqualTo("s")
+            expectThat(received.body).isEqualTo(retriedBody)
+        }
+        expectThat(upstreams.map { it.requests.size }).isEqualTo(listOf(1, if (retriedBody == null) 0 else 1))
+        expectThat(endsOfConnection.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo("closed")
+        expectThat(faults.map { it.substringAfter(' ') }).isEqualTo(listOf(case.fault))
+        expectThat(log.events("attempt_failed").map { listOf(it["requestId"], it["end"], it["fault"]) })
+            .isEqualTo(listOf(listOf("id1", "InvalidResponse", case.fault)))
+    }
+
+    @AfterEach
+    fun stopLog() = log.close()
+
+    @ParameterizedTest
+    @MethodSource("statusLines")
+    fun `a response whose status line is not valid is not passed on`(case: Case) = check(case)
+
+    companion object {
+        private fun heads(
+            calls: List<Call>,
+            responses: List<String>,
+            fault: String,
+        ) = calls.flatMap { call -> responses.map { Case(call, it, fault) } }
+
+        /** Heads with statuses that are not three digits from 100 to 599, or with other bytes than the grammar's. */
+        @JvmStatic
+        fun statusLines(): List<Case> {
+            val statuses = "000;000 Broken;099 OK;600 OK;999 OK;20 OK;0200 OK;2000 OK;-20 OK;+20 OK;2x0 OK".split(';')
+            val others =
+                "HTTP/1.1  200 OK;HTTP/1.1\t200 OK;HTTP/1.1 200\tOK;HTTP/1.1 200 O\u0001K;HTTP/1.1 200 O\rK;" +
+                    "HTTP/1.10 200 OK;HTTP/2.0 200 OK; HTTP/1.1 200 OK;\nHTTP/1.1 200 OK"
+            val lines = statuses.map { "HTTP/1.1 $it" } + others.split(';')
+            val whole = lines.map { "$it\n${OWN_FIELDS}Content-Length: 4\n\nnope" }
+            val interim = listOf("HTTP/1.1 000 Continue\n\n", "HTTP/1.1 099 Continue\n\n").map { it + whole("200 OK") }
+            val unframed = listOf("HTTP/1.1 000 Broken\n$OWN_FIELDS\nnope")
+            val refusal = listOf("HTTP/1.1 0503 Full\n${OWN_FIELDS}x-not-executed: 1\nContent-Length: 0\n\n")
+            return heads(Call.entries, whole.take(2) + interim + unframed + refusal, "StatusLine") +
+                heads(listOf(Call.Retryable, Call.NonRetryable), whole.drop(2), "StatusLine")
+        }
+
+        private fun whole(
+            status: String,
+            fields: String = "",
+        ) = "HTTP/1.1 $status\n$OWN_FIELDS${fields}Content-Length: 4\n\nnope"
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ResponseGrammarTest.kt
@@ -0,0 +1,87 @@
+/*
+ * The grammar of responses, without a connection: which bytes are allowed, however the reads cut them.
+ */
+package io.carawaytrack.gateway
+
+import io.netty.buffer.Unpooled
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+private const val NEXT = "next"
+
+internal class ResponseGrammarTest {
+    /** Examines [bytes] in reads of [readBytes] and returns how many belong to [part]. */
+    private fun examine(
+        part: GrammarPart,
+        bytes: String,
+        readBytes: Int,
+    ): Int {
+        val buffer = Unpooled.wrappedBuffer(bytes.toByteArray(Charsets.ISO_8859_1))
+        var index = 0
+        for (end in (readBytes until bytes.length step readBytes) + bytes.length) {
+            if (!part.isComplete && part.fault == null) index = part.examine(buffer, index, end)
+        }
+        return index
+    }
+
+    private fun expectValid(
+        bytes: String,
+        part: () -> GrammarPart,
+    ) {
+        for (readBytes in 1..bytes.length) {
+            val examined = part()
+            expectThat(examine(examined, bytes + NEXT, readBytes)).describedAs("examined").isEqualTo(bytes.length)
+            expectThat(examined.fault).isNull()
+            expectThat(examined.isComplete).isTrue()
+        }
+        // Every prefix leaves the part unfinished, and valid.
+        for (length in 0 until bytes.length) {
+            val examined = part()
+            examine(examined, bytes.take(length), bytes.length)
+            expectThat(examined.fault).describedAs("prefix of $length").isNull()
+            expectThat(examined.isComplete).describedAs("prefix of $length").isFalse()
+        }
+    }
+
+    private fun expectFault(
+        bytes: String,
+        fault: ResponseFault,
+        part: () -> GrammarPart,
+    ) {
+        for (readBytes in 1..bytes.length) {
+            val examined = part()
+            examine(examined, bytes, readBytes)
+            expectThat(examined.fault).describedAs(printable(bytes)).isEqualTo(fault)
+            expectThat(examined.isComplete).isFalse()
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 200 OK\n", "HTTP/1.1 200\r\n",
+            "HTTP/1.1 200 \r\n", "HTTP/1.1 100 Continue\r\n", "HTTP/1.1 599 x\r\n", "HTTP/1.1 299 \r\n",
+            "HTTP/1.1 404 Not\tFound \u00e9\r\n",
+        ],
+    )
+    fun `a status line is valid by the grammar`(line: String) = expectValid(line, ::StatusLine)
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "HTTP/1.1 000 \r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n",
+            "HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 -20 OK\r\n", "HTTP/1.1  200 OK\r\n",
+            "HTTP/1.1\t200 OK\r\n", "HTTP/1.1 200\tOK\r\n", "HTTP/1.1\r\n", "HTTP/1.1 \r\n", "HTTP/1. 200 OK\r\n",
+            "HTTP/1.10 200 OK\r\n", "HTTP/2.0 200 OK\r\n", "http/1.1 200 OK\r\n", "ICY 200 OK\r\n",
+            "\r\nHTTP/1.1 200 OK\r\n", " HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 O\u0000K\r\n",
+            "HTTP/1.1 200 O\u007fK\r\n", "HTTP/1.1 200\r \n", "{}\r\n",
+        ],
+    )
+    fun `a status line is rejected wherever the reads cut it`(line: String) =
+        expectFault(line, ResponseFault.StatusLine, ::StatusLine)
+}
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostLoadDefinitions.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostLoadDefinitions.kt
@@ -12,6 +12,13 @@
             "pool",
             "reason",
         )
+    val invalidResponses =
+        counter(
+            "caraway_host_invalid_responses_total",
+            "Attempts that ended with an invalid response, by what is invalid in it.",
+            "pool",
+            "fault",
+        )
     val keptAnswers =
         counter(
             "caraway_host_kept_answers_total",
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/HostMetrics.kt
@@ -93,6 +93,12 @@
         reason: String,
     )
 
+    /** Counts an attempt that ended with an invalid response of an upstream of [pool]. */
+    public fun responseRejected(
+        pool: PoolName,
+        fault: String,
+    )
+
     /** Counts an answer of [model] that was kept only because the engines of [pool] were busy. */
     public fun answerKept(
         pool: PoolName,
@@ -123,6 +129,7 @@
     private val retries = group.counter(MetricCatalog.hostRetries)
     override val queues = HostQueueMetrics(registry)
     private val abandonedUpstreams = group.counter(HostLoadDefinitions.abandonedUpstreams)
+    private val invalidResponses = group.counter(HostLoadDefinitions.invalidResponses)
     private val keptAnswers = group.counter(HostLoadDefinitions.keptAnswers)
 
     init {
@@ -204,6 +211,11 @@
         reason: String,
     ) = abandonedUpstreams.of(pool.value, reason).inc()
 
+    override fun responseRejected(
+        pool: PoolName,
+        fault: String,
+    ) = invalidResponses.of(pool.value, fault).inc()
+
     override fun answerKept(
         pool: PoolName,
         model: String,
--- a/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
+++ b/telemetry/src/main/kotlin/io/carawaytrack/telemetry/MetricCatalog.kt
@@ -301,6 +301,7 @@
                     hostAttempts,
                     hostRetries,
                     HostLoadDefinitions.abandonedUpstreams,
+                    HostLoadDefinitions.invalidResponses,
                     HostLoadDefinitions.keptAnswers,
                     hostConfiguration,
                     hostViewIndex,
