gateway: reject responses whose head has a line that is no field

What callers saw: a response with a blank in the name of a field reached its caller as a success, with the line passed on as a field of another name, or, where the line was to be the length, with another body than the upstream's: "Content-Length : 2" before the body "nope" gave "no". A line that begins with a blank became a part of the value before it, the signature in one case. Control characters in a name were rejected by the decoder before, in its headers' own way.

Cause: the decoder takes white space as the end of a name, a line without a colon for a name, and joins continued lines, and hands on what it made of them.

Change: FieldSection in ResponseGrammar.kt examines the lines of a head after its status line: a token, a colon at once, and a value without control characters. The faults FieldName and FieldValue end the attempt as other invalid responses do.

Evidence: MalformedResponseTest on the commit before: its 90 new cases failed, 31 of them by what callers got (a 200, the wrong body, a changed signature), the others by the recorded fault.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseGrammar.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseGrammar.kt
@@ -11,6 +11,12 @@
     /** The status line is malformed, or its status is not between 100 and 599. */
     StatusLine,
 
+    /** The name of a field is no token, or a line of the head is no field. */
+    FieldName,
+
+    /** The value of a field holds a control character. */
+    FieldValue,
+
     /** The decoder rejects it: it exceeds a limit, or its length is contradictory or no number. */
     Undecodable,
 
@@ -83,8 +89,52 @@
     }
 }
 
+/** Field lines and the empty line after them: a token, a colon and a value, which no other line continues. */
+internal class FieldSection : GrammarPart() {
+    private enum class Place { LineStart, Name, Value, ReturnInValue, ReturnAtLineStart }
+
+    private var place = Place.LineStart
+
+    override fun examine(byte: Int) {
+        when (place) {
+            Place.LineStart -> beginLine(byte)
+            Place.Name ->
+                when {
+                    byte == COLON -> place = Place.Value
+                    !isToken(byte) -> fault = ResponseFault.FieldName
+                }
+            Place.Value ->
+                when {
+                    byte == LINE_FEED -> place = Place.LineStart
+                    byte == CARRIAGE_RETURN -> place = Place.ReturnInValue
+                    !isText(byte) -> fault = ResponseFault.FieldValue
+                }
+            Place.ReturnInValue ->
+                if (byte == LINE_FEED) place = Place.LineStart else fault = ResponseFault.FieldValue
+            Place.ReturnAtLineStart ->
+                if (byte == LINE_FEED) isComplete = true else fault = ResponseFault.FieldName
+        }
+    }
+
+    private fun beginLine(byte: Int) {
+        when {
+            byte == LINE_FEED -> isComplete = true
+            byte == CARRIAGE_RETURN -> place = Place.ReturnAtLineStart
+            isToken(byte) -> place = Place.Name
+            else -> fault = ResponseFault.FieldName
+        }
+    }
+}
+
+/** Returns whether [byte] may occur in a token, such as the name of a field. */
+private fun isToken(byte: Int): Boolean = byte.toChar().let { char ->
+    char in 'a'..'z' || char in 'A'..'Z' || char in '0'..'9' || char in TOKEN_SYMBOLS
+}
+
 /** Returns whether [byte] may occur in a reason phrase or in the value of a field. */
 private fun isText(byte: Int): Boolean = byte == TAB || (byte >= SPACE && byte != DELETE)
 
 private const val TAB = '\t'.code
 private const val DELETE = 0x7F
+private const val COLON = ':'.code
+private const val TOKEN_SYMBOLS = "-!#$%&'*+.^_`|~"
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
@@ -66,17 +66,18 @@
 
     /** Examines the received bytes as far as the decoder has not been told what follows them. */
     private fun isValid(buffer: ByteBuf): Boolean {
-        val current = part ?: return true
-        val start = buffer.readerIndex() + examinedBytes
-        examinedBytes = current.examine(buffer, start, buffer.writerIndex()) - buffer.readerIndex()
-        val fault = current.fault
-        if (fault != null) {
-            rejected = true
-            faultFound(fault)
-        } else if (current.isComplete) {
-            part = null
+        while (true) {
+            val current = part ?: return true
+            val start = buffer.readerIndex() + examinedBytes
+            examinedBytes = current.examine(buffer, start, buffer.writerIndex()) - buffer.readerIndex()
+            current.fault?.let {
+                rejected = true
+                faultFound(it)
+                return false
+            }
+            if (!current.isComplete) return true
+            part = if (current is StatusLine) FieldSection() else null
         }
-        return fault == null
     }
 
     private fun decodeExamined(
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
@@ -97,6 +97,10 @@
     @MethodSource("statusLines")
     fun `a response whose status line is not valid is not passed on`(case: Case) = check(case)
 
+    @ParameterizedTest
+    @MethodSource("fieldNames", "fieldValues")
+    fun `a response whose head has a line that is no field is not passed on`(case: Case) = check(case)
+
     companion object {
         private fun heads(
             calls: List<Call>,
@@ -124,5 +128,39 @@
             status: String,
             fields: String = "",
         ) = "HTTP/1.1 $status\n$OWN_FIELDS${fields}Content-Length: 4\n\nnope"
+
+        /** Heads with a line whose name is no token, or that has no name. */
+        @JvmStatic
+        fun fieldNames(): List<Case> {
+            val lines =
+                (
+                    "x bad: 1;x-bad : 1;x\u0001bad: 1;x\u0000bad: 1;x\u007fbad: 1;x\tbad: 1;x-bad\t: 1;x\rbad: 1;" +
+                        "\u0001: 1;: 1;x-bad;x(bad): 1;x\"bad: 1;x\u00e4bad: 1; x-bad: 1;\tx-bad: 1"
+                ).split(';')
+            val framing =
+                "Content-Length : 2;Content Length: 2;Content\u0001-Length: 2;Transfer-Encoding : chunked"
+                    .split(';')
+                    .map { "HTTP/1.1 200 OK\n$OWN_FIELDS$it\n\nnope" }
+            val interim = listOf("HTTP/1.1 103 Early Hints\nx bad: 1\n\n" + whole("200 OK"))
+            val refusal =
+                listOf("HTTP/1.1 503 Full\n${OWN_FIELDS}x-not-executed: 1\nx bad: 1\nContent-Length: 0\n\n")
+            val stream = listOf("HTTP/1.1 200 OK\n${OWN_FIELDS}x bad: 1\nTransfer-Encoding: chunked\n\n$STREAM_END")
+            val calls = listOf(Call.Retryable, Call.NonRetryable)
+            val streams = listOf(Call.Resumable, Call.StreamThatMayRunOnce)
+            val blankAndControl = listOf(lines[0], lines[2]).map { whole("200 OK", "$it\n") }
+            return heads(Call.entries, blankAndControl + interim + refusal, "FieldName") +
+                heads(calls, lines.map { whole("200 OK", "$it\n") } + framing, "FieldName") +
+                heads(streams, stream, "FieldName")
+        }
+
+        /** Heads with a control character in the value of a field. */
+        @JvmStatic
+        fun fieldValues(): List<Case> {
+            val lines =
+                "x-bad: a\u0000b;x-bad: a\u0001b;x-bad: a\u007fb;x-bad: a\rb;x-bad:\u000b1;x-bad: 1\u0008".split(';')
+            val interim = listOf("HTTP/1.1 103 Early Hints\nx-bad: a\u0001b\n\n" + whole("200 OK"))
+            return heads(Call.entries, lines.take(1).map { whole("200 OK", "$it\n") } + interim, "FieldValue") +
+                heads(listOf(Call.Retryable, Call.NonRetryable), lines.map { whole("200 OK", "$it\n") }, "FieldValue")
+        }
     }
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ResponseGrammarTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ResponseGrammarTest.kt
@@ -84,4 +84,33 @@
     )
     fun `a status line is rejected wherever the reads cut it`(line: String) =
         expectFault(line, ResponseFault.StatusLine, ::StatusLine)
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "\r\n", "\n", "a:\r\n\r\n", "a:b\r\n\r\n", "a: b\nc:\td\t\n\n", "Content-Length: 5\r\nX: a:b\r\n\r\n",
+            "!#\$%&'*+-.^_`|~09azAZ: \u00e9 \"(),/:;<=>?@[\\]{}\r\n\r\n",
+        ],
+    )
+    fun `field lines are valid by the grammar`(section: String) = expectValid(section, ::FieldSection)
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "x y: 1\r\n", "x : 1\r\n", " x: 1\r\n", "\tx: 1\r\n", "a: b\r\n c\r\n", ": 1\r\n", "x\r\n",
+            "x\u0001: 1\r\n", "x\u0000y: 1\r\n", "\u007f: 1\r\n", "x\ry: 1\r\n", "\rx: 1\r\n", "x(y): 1\r\n",
+            "x\u00e4: 1\r\n", "HTTP/1.1 200 OK\r\n",
+        ],
+    )
+    fun `the name of a field is rejected wherever the reads cut it`(section: String) =
+        expectFault(section, ResponseFault.FieldName, ::FieldSection)
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "x: a\u0000\r\n", "x: \u0001b\r\n", "x:\u007f\r\n", "x: a\rb\r\n", "x: a\r\r\n", "x: a\u000bb\r\n",
+        ],
+    )
+    fun `the value of a field is rejected wherever the reads cut it`(section: String) =
+        expectFault(section, ResponseFault.FieldValue, ::FieldSection)
 }
