gateway: reject responses whose chunks are not valid

What callers saw: a response in chunks whose data did not have the stated size reached its caller as a complete success with another body: "3", "nope" and the last chunk gave "nop". Bytes between the data and the line end were dropped, trailers that are no fields ignored, and sizes with blanks or control characters around them accepted.

Cause: the same as for the head: the decoder skips whatever stands between a chunk's data and the next line feed, and nothing else examined the framing of the body.

Change: ChunkedBody in ResponseGrammar.kt examines the sizes, the line ends after the data and the trailers; the data itself is skipped. The fault is Chunk, or that of the trailer's field.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseGrammar.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseGrammar.kt
@@ -17,6 +17,9 @@
     /** The value of a field holds a control character. */
     FieldValue,
 
+    /** The size of a chunk is no number that the decoder supports, or the chunk does not end there. */
+    Chunk,
+
     /** The decoder rejects it: it exceeds a limit, or its length is contradictory or no number. */
     Undecodable,
 
@@ -41,6 +44,9 @@
     var fault: ResponseFault? = null
         protected set
 
+    /** Number of bytes that come next and may have any value. */
+    protected var opaqueBytes = 0
+
     /**
      * Examines the bytes of [buffer] from the index [start] up to [end], and returns the index after the last one that
      * belongs to this part.
@@ -51,11 +57,17 @@
         end: Int,
     ): Int {
         var index = start
-        while (index < end && !isComplete && fault == null) examine(buffer.getByte(index++).toInt() and BYTE_MASK)
+        while (index < end && !isComplete && fault == null) {
+            val skippedBytes = minOf(opaqueBytes, end - index)
+            opaqueBytes -= skippedBytes
+            index += skippedBytes
+            if (index < end) examine(buffer.getByte(index++).toInt() and BYTE_MASK)
+        }
         return index
     }
 
-    protected abstract fun examine(byte: Int)
+    /** Examines the next [byte] that may not have any value. */
+    abstract fun examine(byte: Int)
 }
 
 /** `HTTP/1.x`, a status from 100 to 599 and the reason phrase, which may be absent with the space before it. */
@@ -126,6 +138,80 @@
     }
 }
 
+/**
+ * A body in chunks: the size of each in hexadecimal digits, extensions, and that many bytes; then trailers. Other than
+ * in fields, a line feed alone ends no line.
+ */
+internal class ChunkedBody : GrammarPart() {
+    private enum class Place { Size, BlankAfterSize, Extension, ReturnAfterSize, DataEnd, ReturnAfterData, Trailers }
+
+    private var place = Place.Size
+    private var size: Long? = null
+    private val trailers = FieldSection()
+
+    override fun examine(byte: Int) {
+        when (place) {
+            Place.Size -> examineSize(byte)
+            Place.BlankAfterSize ->
+                when {
+                    byte == SEMICOLON -> place = Place.Extension
+                    !isBlank(byte) -> fault = ResponseFault.Chunk
+                }
+            Place.Extension ->
+                when {
+                    byte == CARRIAGE_RETURN -> place = Place.ReturnAfterSize
+                    !isText(byte) -> fault = ResponseFault.Chunk
+                }
+            Place.ReturnAfterSize -> expect(byte, LINE_FEED, ::beginData)
+            Place.DataEnd -> expect(byte, CARRIAGE_RETURN) { place = Place.ReturnAfterData }
+            Place.ReturnAfterData -> expect(byte, LINE_FEED, ::beginChunk)
+            Place.Trailers -> examineTrailers(byte)
+        }
+    }
+
+    private inline fun expect(
+        byte: Int,
+        expected: Int,
+        next: () -> Unit,
+    ) {
+        if (byte == expected) next() else fault = ResponseFault.Chunk
+    }
+
+    private fun beginChunk() {
+        size = null
+        place = Place.Size
+    }
+
+    private fun examineSize(byte: Int) {
+        val digit = Character.digit(byte, HEXADECIMAL)
+        val sizeSoFar = size
+        when {
+            digit >= 0 -> {
+                val next = (sizeSoFar ?: 0) * HEXADECIMAL + digit
+                if (next <= Int.MAX_VALUE) size = next else fault = ResponseFault.Chunk
+            }
+            sizeSoFar == null -> fault = ResponseFault.Chunk
+            byte == CARRIAGE_RETURN -> place = Place.ReturnAfterSize
+            byte == SEMICOLON -> place = Place.Extension
+            isBlank(byte) -> place = Place.BlankAfterSize
+            else -> fault = ResponseFault.Chunk
+        }
+    }
+
+    private fun beginData() {
+        opaqueBytes = size?.toInt() ?: 0
+        place = if (opaqueBytes == 0) Place.Trailers else Place.DataEnd
+    }
+
+    private fun examineTrailers(byte: Int) {
+        trailers.examine(byte)
+        fault = trailers.fault
+        isComplete = trailers.isComplete
+    }
+}
+
+private fun isBlank(byte: Int): Boolean = byte == SPACE || byte == TAB
+
 /** Returns whether [byte] may occur in a token, such as the name of a field. */
 private fun isToken(byte: Int): Boolean = byte.toChar().let { char ->
     char in 'a'..'z' || char in 'A'..'Z' || char in '0'..'9' || char in TOKEN_SYMBOLS
@@ -137,4 +223,6 @@
 private const val TAB = '\t'.code
 private const val DELETE = 0x7F
 private const val COLON = ':'.code
+private const val SEMICOLON = ';'.code
+private const val HEXADECIMAL = 16
 private const val TOKEN_SYMBOLS = "-!#$%&'*+.^_`|~"
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
@@ -12,7 +12,9 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 
 private const val MAX_LINE_BYTES = 8_192
@@ -89,12 +91,12 @@
         val decodedBefore = out.size
         super.decode(context, buffer, out)
         examinedBytes = maxOf(0, examinedBytes - (buffer.readerIndex() - start))
-        if (out.drop(decodedBefore).any { it is LastHttpContent }) expectHead()
+        for (index in decodedBefore until out.size) expectPartAfter(out[index])
     }
 
-    private fun expectHead() {
-        part = StatusLine()
-        examinedBytes = 0
+    private fun expectPartAfter(decoded: Any) {
+        if (decoded is HttpResponse && HttpUtil.isTransferEncodingChunked(decoded)) part = ChunkedBody()
+        if (decoded is LastHttpContent) part = StatusLine()
     }
 
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
@@ -101,6 +101,14 @@
     @MethodSource("fieldNames", "fieldValues")
     fun `a response whose head has a line that is no field is not passed on`(case: Case) = check(case)
 
+    @ParameterizedTest
+    @MethodSource("chunkedBodies")
+    fun `a response whose chunks are not valid is not passed on`(case: Case) = check(case)
+
+    @ParameterizedTest
+    @MethodSource("framings")
+    fun `a response that does not state the end of its body by the grammar is not passed on`(case: Case) = check(case)
+
     companion object {
         private fun heads(
             calls: List<Call>,
@@ -162,5 +170,44 @@
             return heads(Call.entries, lines.take(1).map { whole("200 OK", "$it\n") } + interim, "FieldValue") +
                 heads(listOf(Call.Retryable, Call.NonRetryable), lines.map { whole("200 OK", "$it\n") }, "FieldValue")
         }
+
+        /** Chunks whose sizes are no numbers or are not those of their data, and trailers that are no fields. */
+        @JvmStatic
+        fun chunkedBodies(): List<Case> {
+            val sizes = "-4;+4; 4;4 ;4\t;0x4;4 x;4,;g;;4\rx;4\u0001;80000000;fffffffffffffffff".split(';') + "4;x\u0001"
+            val ends = "4\nnope+\n0\n\n;3\nnope\n0\n\n;4\nnope0\n\n;4\nnope\r0\n\n;4\nnope\n0x\n\n;4\nnope\n\n0\n\n"
+            val chunks = (sizes.map { "$it\nnope\n0\n\n" } + ends.split(';')).map { inChunks(it) }
+            val trailers = "x bad: 1;x-bad : 1;x\u0001: 1; x: 1;x".split(';').map { inChunks("4\nnope\n0\n$it\n\n") }
+            val trailerValues = "x: a\u0000;x: a\rb".split(';').map { inChunks("4\nnope\n0\n$it\n\n") }
+            val refusal = listOf("HTTP/1.1 503 Full\n${OWN_FIELDS}x-not-executed: 1\nTransfer-Encoding: chunked\n\nx\n")
+            val calls = listOf(Call.Retryable, Call.NonRetryable)
+            return heads(calls, chunks + refusal, "Chunk") + heads(calls, trailers, "FieldName") +
+                heads(calls, trailerValues, "FieldValue")
+        }
+
+        /** Heads that state the end of the body in several ways, or in none that the grammar allows. */
+        @JvmStatic
+        fun framings(): List<Case> {
+            val calls = listOf(Call.Retryable, Call.NonRetryable)
+            val lengths =
+                (
+                    "+4;-4;0x4;4 4;4,4;4.0;99999999999999999999;;4\nContent-Length: 4;4\nContent-Length: 2;" +
+                        "4\nTransfer-Encoding: chunked"
+                ).split(';')
+            val codings =
+                "gzip;gzip, chunked;chunked, chunked;chunked\nTransfer-Encoding: chunked;identity;".split(';')
+            return heads(
+                calls,
+                lengths.map { "HTTP/1.1 200 OK\n${OWN_FIELDS}Content-Length: $it\n\nnope" },
+                "Undecodable",
+            ) +
+                heads(
+                    calls,
+                    codings.map { "HTTP/1.1 200 OK\n${OWN_FIELDS}Transfer-Encoding: $it\n\n4\nnope\n0\n\n" },
+                    "Unattributable",
+                )
+        }
+
+        private fun inChunks(body: String) = "HTTP/1.1 200 OK\n${OWN_FIELDS}Transfer-Encoding: chunked\n\n$body"
     }
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ResponseGrammarTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ResponseGrammarTest.kt
@@ -113,4 +113,30 @@
     )
     fun `the value of a field is rejected wherever the reads cut it`(section: String) =
         expectFault(section, ResponseFault.FieldValue, ::FieldSection)
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "0\r\n\r\n", "0\r\n\n", "000\r\n\r\n", "4\r\n\r\n\u0000\u007f\r\n0\r\n\r\n",
+            "0a\r\n0123456789\r\n0\r\n\r\n", "A;a=b\r\n0123456789\r\n0;c\r\n\r\n",
+            "1 ;a=\"b c\"\r\nx\r\n0\t;d\r\n\r\n", "1\r\nx\r\n1\r\ny\r\n0\r\na: b\r\nc:\r\n\r\n",
+        ],
+    )
+    fun `a body in chunks is valid by the grammar`(body: String) = expectValid(body, ::ChunkedBody)
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "\r\n", "g\r\n", "-1\r\n", "+1\r\n", "0x1\r\n", " 1\r\n", "1 \r\n", "1\t\r\n", "1 1\r\n", ";a\r\n",
+            "1,\r\n", "1\r1", "1;\u0001\r\n", "0\n", "1;a\n", "1\r\nx\n", "1;a\rb\r\n", "80000000\r\n",
+            "10000000000000000\r\n", "1\r\nxy\r\n", "1\r\nx\ry", "2\r\nx\r\n0", "1\r\nx\r\n\r\n",
+        ],
+    )
+    fun `a chunk is rejected wherever the reads cut it`(body: String) =
+        expectFault(body, ResponseFault.Chunk, ::ChunkedBody)
+
+    @ParameterizedTest
+    @ValueSource(strings = ["0\r\nx y: 1\r\n", "1\r\na\r\n0\r\nb: c\r\n d\r\n"])
+    fun `a trailer is rejected wherever the reads cut it`(body: String) =
+        expectFault(body, ResponseFault.FieldName, ::ChunkedBody)
 }
