gateway: reject chunked responses of HTTP/1.0

What callers saw: a response of HTTP/1.0 with a transfer coding was passed on as decoded. HTTP/1.0 has no transfer codings, so the end of such a body is not known.

Cause: the check of transfer codings did not look at the version.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseIdentity.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseIdentity.kt
@@ -58,5 +58,7 @@
 
 private fun HttpResponse.hasUnknownFraming(): Boolean {
     val codings = headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
-    return codings.size > 1 || codings.any { !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(it) }
+    if (codings.isEmpty()) return false
+    val chunked = codings.size == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.single())
+    return !chunked || protocolVersion() == HttpVersion.HTTP_1_0
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
@@ -196,11 +196,13 @@
                 ).split(';')
             val codings =
                 "gzip;gzip, chunked;chunked, chunked;chunked\nTransfer-Encoding: chunked;identity;".split(';')
-            return heads(
-                calls,
-                lengths.map { "HTTP/1.1 200 OK\n${OWN_FIELDS}Content-Length: $it\n\nnope" },
-                "Undecodable",
-            ) +
+            val chunkedByOldVersion = inChunks("4\nnope\n0\n\n").replace("HTTP/1.1", "HTTP/1.0")
+            return heads(calls, listOf(chunkedByOldVersion), "Unattributable") +
+                heads(
+                    calls,
+                    lengths.map { "HTTP/1.1 200 OK\n${OWN_FIELDS}Content-Length: $it\n\nnope" },
+                    "Undecodable",
+                ) +
                 heads(
                     calls,
                     codings.map { "HTTP/1.1 200 OK\n${OWN_FIELDS}Transfer-Encoding: $it\n\n4\nnope\n0\n\n" },
