--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
@@ -8,6 +8,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandler
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
@@ -27,6 +28,19 @@
         .setMaxHeaderSize(MAX_HEADER_BYTES)
         .setMaxChunkSize(MAX_CHUNK_BYTES)
 
+/**
+ * Returns a decoder for the response to the only request of a connection, which has [method]. It calls [faultFound]
+ * with the name of the fault if the response is not valid, and drops what follows.
+ */
+public fun singleResponseDecoder(
+    method: HttpMethod,
+    faultFound: (String) -> Unit,
+): ChannelInboundHandler {
+    val decoder = UpstreamResponseDecoder(surplusReceived = {}, faultFound = { faultFound(it.name) })
+    decoder.await(method)
+    return decoder
+}
+
 /**
  * A decoder that calls [surplusReceived] for bytes that arrive while no response is awaited, and drops them. It calls
  * [faultFound] for a response that the grammar excludes, and drops all further bytes of the connection.
