gateway: test that a stream is not resumed by an invalid response

Three more responses of the upstream that is to resume a stream (a status 000, a blank in a field's name, a chunk that is longer than its size) and two second responses on a used connection.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/FaultyResponseTest.kt
@@ -106,6 +106,11 @@
         NotRun("HTTP/1.1 503 Service Unavailable\nx-attempt: id1\nx-not-executed: 1\nContent-Length: 0\n\n"),
         NoResponse("sorry\n\n"),
         UnsignedEvent("HTTP/1.1 200 OK\nx-attempt: id1\nContent-Length: 18\n\nid: 2\ndata: 2\n\n"),
+        InvalidStatus("HTTP/1.1 000 OK\nx-attempt: id1\nx-seal: s\nContent-Length: 18\n\nid: 2\ndata: 2\n\n"),
+        InvalidFieldName(
+            "HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nx y: 1\nContent-Length: 18\n\nid: 2\ndata: 2\n\n",
+        ),
+        InvalidChunk("${STREAM_HEAD}12\nid: 2\ndata: 2\n\nX\n0\n\n"),
         UnsignedEnd("HTTP/1.1 200 OK\nx-attempt: id1\nContent-Length: 0\n\n"),
     }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/SurplusBytesTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/SurplusBytesTest.kt
@@ -181,6 +181,8 @@
             "HTTP/1.1 200 ",
             "HTTP/1.1 100 Continue\n",
             "HTTP/1.1 204 No Content\nx-seal: of-first-204 No Content\n\n",
+            "HTTP/1.1 000 OK\nx-seal: of-first-000 OK\nContent-Length: 0\n\n",
+            "HTTP/1.1 200 OK\nx-seal: of-first-200 OK\nx more: 1\nContent-Length: 0\n\n",
             "0\n\n",
             "5\nother\n0\n\n",
         )
