agent: pass on only answers that are valid and whole

What callers saw: an answer with the status 000, or with a blank or control character in the name of a field, ended the attempt without any message to the entry, which waited until its timeout. An answer that ended before its stated length, or between two chunks, reached the caller as complete; so did one with the status 600, a control character in a value, or two lengths. A valid answer without a length of HTTP/1.0 failed.

Cause: the client reports some of these faults as exceptions that are no IOException, takes the end of the connection as the end of a body, and at times loses the cause of a failure when a body ends with it.

Change: the agent uses the JDK's client, whose failures are all IOExceptions, and its publisher of the body, in which a failure cannot be taken for the end. invalidHeadReason checks what that client accepts. That client would send a GET again on its own when a used connection is closed; this is turned off, as only the entry knows what may be repeated.

New library: kotlinx-coroutines-jdk9, for the publisher.

--- a/agent/src/main/kotlin/io/carawaytrack/agent/Agent.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/Agent.kt
@@ -162,7 +162,6 @@
         control.close()
         hub.drain()
         hub.close()
-        upstream.close()
         scope.cancel()
         telemetry.close()
     }
--- a/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
@@ -1,38 +1,47 @@
 /*
- * Sends attempts to the upstream over HTTP and relays the answers in chunks.
+ * Sends attempts to the upstream over HTTP and relays the answers in chunks. The JDK's client rejects answers that are
+ * not valid or not whole, except for some heads, which are checked here.
  */
 package io.carawaytrack.agent
 
 import io.carawaytrack.model.HostPort
 import io.carawaytrack.wire.Header
 import io.carawaytrack.wire.OpenAttempt
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.cio.endpoint
-import io.ktor.client.request.header
-import io.ktor.client.request.prepareRequest
-import io.ktor.client.request.setBody
-import io.ktor.client.request.url
-import io.ktor.client.statement.HttpResponse
-import io.ktor.client.statement.bodyAsChannel
-import io.ktor.http.HttpHeaders
-import io.ktor.http.HttpMethod
-import io.ktor.http.content.ByteArrayContent
-import io.ktor.util.flattenEntries
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.jdk9.collect
+import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withContext
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.Socket
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpRequest.BodyPublishers
+import java.net.http.HttpResponse
+import java.net.http.HttpResponse.BodyHandlers
+import java.nio.ByteBuffer
+import java.util.concurrent.CompletionException
+import java.util.concurrent.Flow
+import kotlin.coroutines.resume
+import kotlin.coroutines.resumeWithException
 
 private const val MAX_CHUNK_BYTES = 16 * 1024
 private const val PROBE_TIMEOUT_MILLIS = 1_000
-private const val MAX_CONNECTIONS = 10_000
 
+/** Headers that concern one connection, or that the client sets itself. */
 private val hopByHopHeaders =
-    setOf("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade", "content-length", "host")
+    setOf(
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "te",
+        "trailer",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    )
 
 /** Receives an upstream's answer: the head once, then the body in chunks. */
 internal interface AnswerSink {
@@ -44,22 +53,21 @@
     suspend fun chunk(bytes: ByteArray)
 }
 
-/** Runs an attempt on the upstream; throws `IOException` when the connection fails or is lost. */
+/** Runs an attempt on the upstream; throws `IOException` if the answer is not valid and whole, or there is none. */
 internal typealias RunUpstream = suspend (attempt: OpenAttempt, sink: AnswerSink) -> Unit
 
+private typealias StreamedAnswer = HttpResponse<Flow.Publisher<List<ByteBuffer>>>
+
 internal class UpstreamClient(
     private val upstream: HostPort,
-) : AutoCloseable {
-    private val client =
-        HttpClient(CIO) {
-            expectSuccess = false
-            followRedirects = false
-            engine {
-                requestTimeout = 0
-                maxConnectionsCount = MAX_CONNECTIONS
-                endpoint { maxConnectionsPerRoute = MAX_CONNECTIONS }
-            }
-        }
+) {
+    private val client: HttpClient
+
+    init {
+        // The client would send a GET request once more if a used connection is closed before the answer.
+        System.setProperty("jdk.httpclient.redirects.retrylimit", "1")
+        client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+    }
 
     /** Sends [attempt] with [traceparent] as its trace context and relays the answer to [sink]. */
     suspend fun run(
@@ -67,42 +75,71 @@
         traceparent: String?,
         sink: AnswerSink,
     ) {
-        val request =
-            client.prepareRequest {
-                method = HttpMethod.parse(attempt.method)
-                url("http://$upstream${attempt.path}")
-                attempt.headers.filter(::isForwarded).forEach { header(it.name, it.value) }
-                header(REQUEST_ID_HEADER, attempt.request.value)
-                traceparent?.let { header("traceparent", it) }
-                if (attempt.body.isNotEmpty()) setBody(ByteArrayContent(attempt.body))
+        val request = HttpRequest.newBuilder(URI("http://$upstream${escapedPath(attempt.path)}"))
+        val body = attempt.body
+        val publisher = if (body.isEmpty()) BodyPublishers.noBody() else BodyPublishers.ofByteArray(body)
+        request.method(attempt.method, publisher)
+        attempt.headers.filter(::isForwarded).forEach { request.header(it.name, it.value) }
+        request.header(REQUEST_ID_HEADER, attempt.request.value)
+        traceparent?.let { request.header("traceparent", it) }
+        relay(send(request.build()), sink)
+    }
+
+    private suspend fun send(request: HttpRequest): StreamedAnswer = suspendCancellableCoroutine { continuation ->
+        val sending = client.sendAsync(request, BodyHandlers.ofPublisher())
+        // Only a cancellation that interrupts closes the connection.
+        continuation.invokeOnCancellation { sending.cancel(true) }
+        sending.whenComplete { answer, failure ->
+            val cause = if (failure is CompletionException) failure.cause else failure
+            if (cause ==
+                null
+            ) {
+                continuation.resume(answer) { _, late, _ -> discard(late) }
+            } else {
+                continuation.resumeWithException(cause)
             }
-        request.execute { response -> relay(response, sink) }
+        }
     }
 
     private suspend fun relay(
-        response: HttpResponse,
+        answer: StreamedAnswer,
         sink: AnswerSink,
     ) {
-        val headers = response.headers.flattenEntries().map { (name, value) -> Header(name, value) }
-        sink.head(response.status.value, headers.filterNot { it.name.lowercase() in hopByHopHeaders })
-        relayBody(response.bodyAsChannel(), sink)
+        val headers = answer.headers().map().flatMap { (name, values) -> values.map { Header(name, it) } }
+        val reason = invalidHeadReason(answer.statusCode(), headers)
+        if (reason != null) {
+            discard(answer)
+            throw IOException("invalid answer: $reason")
+        }
+        sink.head(answer.statusCode(), headers.filterNot { it.name.lowercase() in hopByHopHeaders })
+        answer.body().collect { buffers -> buffers.forEach { relayChunks(it, sink) } }
     }
 
-    private suspend fun relayBody(
-        body: ByteReadChannel,
+    private suspend fun relayChunks(
+        buffer: ByteBuffer,
         sink: AnswerSink,
     ) {
-        val buffer = ByteArray(MAX_CHUNK_BYTES)
-        while (true) {
-            val count = body.readAvailable(buffer)
-            if (count < 0) return
-            if (count > 0) sink.chunk(buffer.copyOf(count))
+        while (buffer.hasRemaining()) {
+            sink.chunk(ByteArray(minOf(buffer.remaining(), MAX_CHUNK_BYTES)).also(buffer::get))
         }
     }
 
+    /** Closes the connection of an [answer] whose body is not read. */
+    private fun discard(answer: StreamedAnswer) = answer.body().subscribe(
+        object : Flow.Subscriber<List<ByteBuffer>> {
+            override fun onSubscribe(subscription: Flow.Subscription) = subscription.cancel()
+
+            override fun onNext(item: List<ByteBuffer>) = Unit
+
+            override fun onError(throwable: Throwable) = Unit
+
+            override fun onComplete() = Unit
+        },
+    )
+
     private fun isForwarded(header: Header): Boolean {
         val name = header.name.lowercase()
-        return name !in hopByHopHeaders && name != HttpHeaders.Authorization.lowercase() && name != "traceparent"
+        return name !in hopByHopHeaders && name != "authorization" && name != "traceparent"
     }
 
     /** Returns whether the upstream accepts connections. */
@@ -114,8 +151,17 @@
             false
         }
     }
-
-    override fun close(): Unit = client.close()
 }
 
 internal const val REQUEST_ID_HEADER = "X-Request-Id"
+
+private const val ESCAPE_FORMAT = "%%%02X"
+private const val ILLEGAL_IN_PATHS = "\"<>[\\]^`{|}"
+
+/** Returns [path] with the characters escaped that a URI must not hold. */
+private fun escapedPath(path: String): String = buildString {
+    path.toByteArray().forEach { byte ->
+        val char = byte.toInt().toChar()
+        if (char in '!'..'~' && char !in ILLEGAL_IN_PATHS) append(char) else append(ESCAPE_FORMAT.format(byte))
+    }
+}
