ctl: take a response that is not valid and whole for none

What operators saw: after a control host's response with the status 000 or a field name with a blank carawayctl ended with a stack trace in place of trying the next host; a response that ended before its stated length or last chunk, or with the status 600, was taken as it was.

--- a/ctl/src/main/kotlin/io/carawaytrack/ctl/Main.kt
+++ b/ctl/src/main/kotlin/io/carawaytrack/ctl/Main.kt
@@ -120,6 +120,5 @@
             printError = { System.err.println(it) },
         )
     val exit = runBlocking { runCarawayctl(arguments.toList(), context) }
-    if (client.isInitialized()) client.value.close()
     exitProcess(exit.code)
 }
--- a/ctl/src/test/kotlin/io/carawaytrack/ctl/HttpTransportTest.kt
+++ b/ctl/src/test/kotlin/io/carawaytrack/ctl/HttpTransportTest.kt
@@ -9,15 +9,19 @@
 import io.carawaytrack.model.HostPort
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 import java.net.InetAddress
 import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
 
 class HttpTransportTest {
-    private fun send(request: AdminRequest) =
-        adminHttpClient().use { client -> runBlocking { httpTransport(client)(request) } }
+    private fun send(request: AdminRequest) = runBlocking { httpTransport(adminHttpClient())(request) }
 
     @Test
     fun `a request carries method, path, token and body, and returns status and body`() {
@@ -53,4 +57,43 @@
         val request = AdminRequest(HostPort("127.0.0.1", port), "GET", "/v1/status", "secret")
         expectThat(send(request).getError()).isNotNull()
     }
+
+    /** Sends a request to a server that answers with [bytes] and ends the connection. */
+    private fun answeredBy(bytes: String) = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+        val answering =
+            CompletableFuture.runAsync {
+                server.accept().use { socket ->
+                    val request = StringBuilder()
+                    while (!request.endsWith("\r\n\r\n")) request.append(socket.getInputStream().read().toChar())
+                    socket.getOutputStream().write(bytes.toByteArray(Charsets.ISO_8859_1))
+                }
+            }
+        send(AdminRequest(HostPort("127.0.0.1", server.localPort), "GET", "/v1/status", "secret"))
+            .also { answering.get(20, TimeUnit.SECONDS) }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\n{}",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n{}",
+        ],
+    )
+    fun `a valid response is returned`(bytes: String) {
+        expectThat(answeredBy(bytes)).isEqualTo(Ok(AdminResponse(200, "{}")))
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = [
+            "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+            "HTTP/1.1 200 OK\r\nx y: 1\r\nContent-Length: 2\r\n\r\n{}",
+            "HTTP/1.1 200 OK\r\nx\u0001: 1\r\nContent-Length: 2\r\n\r\n{}",
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", "junk\r\n\r\n", "",
+        ],
+    )
+    fun `a response that is not valid and whole is no response`(bytes: String) {
+        expectThat(answeredBy(bytes).getError()).isNotNull()
+    }
 }
