entry: take only valid and whole responses for ratings

What was seen: a malformed response of the rating service threw an exception through the request whose answer was to be rated; a response with the status 500 or 600, or without its last chunk, counted as a rating.

Change: the JDK's client; a rating has the status 200.

--- a/entry/src/main/kotlin/io/carawaytrack/entry/Entry.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/Entry.kt
@@ -138,7 +138,6 @@
 
     private suspend fun close() {
         control.close()
-        ratingClient?.close()
         hub.drain()
         hub.close()
         scope.cancel()
--- a/entry/src/main/kotlin/io/carawaytrack/entry/RatingClient.kt
+++ b/entry/src/main/kotlin/io/carawaytrack/entry/RatingClient.kt
@@ -1,5 +1,6 @@
 /*
- * Client of the platform's rating service. A rating that fails or exceeds the timeout counts as missing.
+ * Client of the platform's rating service. A rating that fails, exceeds the timeout, or comes in a response that is not
+ * valid and whole counts as missing.
  */
 package io.carawaytrack.entry
 
@@ -7,21 +8,21 @@
 import io.carawaytrack.model.ModelVersion
 import io.carawaytrack.model.RequestId
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.request.post
-import io.ktor.client.request.setBody
-import io.ktor.client.statement.bodyAsText
-import io.ktor.http.ContentType
-import io.ktor.http.contentType
+import kotlinx.coroutines.future.await
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpRequest.BodyPublishers
+import java.net.http.HttpResponse.BodyHandlers
 
 private val logger = KotlinLogging.logger {}
 
 private const val RATING_TIMEOUT_MILLIS = 2_000L
+private const val OK_STATUS = 200
 
 @Serializable
 private data class RatingRequest(
@@ -38,8 +39,8 @@
 
 internal class RatingClient(
     private val address: HostPort,
-) : AutoCloseable {
-    private val client = HttpClient(CIO)
+) {
+    private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
     private val json = Json { ignoreUnknownKeys = true }
 
     suspend fun rate(
@@ -57,13 +58,14 @@
     }
 
     private suspend fun requestRating(body: String): Double? {
-        val response =
-            client.post("http://$address/rate") {
-                contentType(ContentType.Application.Json)
-                setBody(body)
-            }
-        return runCatching { json.decodeFromString<RatingReply>(response.bodyAsText()).rating }.getOrNull()
+        val request =
+            HttpRequest
+                .newBuilder(URI("http://$address/rate"))
+                .header("Content-Type", "application/json")
+                .POST(BodyPublishers.ofString(body))
+                .build()
+        val response = client.sendAsync(request, BodyHandlers.ofString()).await()
+        if (response.statusCode() != OK_STATUS) return null
+        return runCatching { json.decodeFromString<RatingReply>(response.body()).rating }.getOrNull()
     }
-
-    override fun close(): Unit = client.close()
 }
