gateway: pass on early responses that end with the connection

What callers saw: where an upstream answered a long upload early, without a length, and ended its output in order, the caller got the gateway's 502 in place of the upstream's response, also of an early error. Found by the sound cases of EarlyResponseTest; no invalid bytes reached callers.

Change: while a request is being written, the end of the upstream's output ends reading only. An error that it completes is passed on at once. A success is passed on once the request is written: a reset before that shows that the upstream did not end in order, and the success is not complete.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -15,6 +15,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.PrematureChannelClosureException
@@ -180,6 +181,9 @@
         private var fault: ResponseFault? = null
         private var written = false
         private var complete = false
+
+        /** Whether a success has ended with the upstream's output, which completes it once its request is written. */
+        private var completeOnceWritten = false
         private var interimResponses = 0
         private var skippedBytes = 0
         private val unsuccessfulRequests = ArrayDeque<String>()
@@ -201,6 +205,7 @@
             received = false
             written = false
             complete = false
+            completeOnceWritten = false
             interimResponses = 0
             skippedBytes = 0
             val method = next.request.method()
@@ -208,11 +213,19 @@
             decoder.await(method)
             next.attachTo(channel)
             channel.config().isAutoRead = true
-            channel.writeAndFlush(next.request).addListener { sent ->
-                written = sent.isSuccess
-                // Netty closes the connection, which looks like its orderly end to the decoder of the response.
-                if (!sent.isSuccess) broken = true
-            }
+            // The end of the upstream's output does not end the rest of the request.
+            channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            channel.writeAndFlush(next.request).addListener { sent -> requestWritten(sent.isSuccess) }
+        }
+
+        private fun requestWritten(succeeded: Boolean) {
+            written = succeeded
+            // Netty closes the connection, which looks like its orderly end to the decoder of the response.
+            if (!succeeded) broken = true
+            channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, false)
+            if (!completeOnceWritten) return
+            complete = succeeded
+            channel.close()
         }
 
         override fun channelRead(
@@ -305,8 +318,10 @@
         private fun responseComplete() {
             // A response without a length ends with the connection, so one that failed means that it is truncated.
             if (broken) return
-            complete = true
             decoder.stop()
+            val success = response?.takeIf { it.isSuccess() && decoder.endsWithConnection(it) }
+            // A reset that interrupts the request may follow the end of the output; an error stands all the same.
+            if (success == null || written) complete = true else completeOnceWritten = true
         }
 
         /** Ends an attempt whose response is complete, once all of its last read has been examined. */
@@ -334,6 +349,13 @@
             if (complete) endAttempt(current) else current.listener.onReadComplete()
         }
 
+        override fun userEventTriggered(
+            context: ChannelHandlerContext,
+            event: Any,
+        ) {
+            if (event is ChannelInputShutdownEvent && !completeOnceWritten) channel.close()
+        }
+
         override fun channelInactive(context: ChannelHandlerContext) {
             idle[address]?.remove(this)
             val current = attempt ?: return
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
@@ -65,6 +65,9 @@
         withoutBody = method == HttpMethod.HEAD
     }
 
+    /** Returns whether the body of [response] ends with its connection. */
+    fun endsWithConnection(response: HttpResponse): Boolean = !response.isFramed() && !isContentAlwaysEmpty(response)
+
     /** Stops decoding at the end of the awaited response. */
     fun stop() {
         awaiting = false
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/EarlyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EarlyResponseTest.kt
@@ -156,6 +156,7 @@
     ): Boolean {
         out.flush()
         if (endsWithConnection) socket.shutdownOutput()
+        awaitReader()
         socket.getInputStream().skipAll()
         return false
     }
@@ -175,8 +176,7 @@
 
         @JvmStatic
         fun earlyResponses() = Early.entries.flatMap { early ->
-            val uploads = listOf(BUFFERED_UPLOAD_BYTES, LONG_UPLOAD_BYTES).take(if (early.framing.isEmpty()) 1 else 2)
-            uploads.map { arrayOf<Any>(early, it) }
+            listOf(BUFFERED_UPLOAD_BYTES, LONG_UPLOAD_BYTES).map { arrayOf<Any>(early, it) }
         }
     }
 }
