--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseGrammar.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseGrammar.kt
@@ -34,6 +34,14 @@
 private const val LINE_FEED = '\n'.code
 private const val CARRIAGE_RETURN = '\r'.code
 private const val SPACE = ' '.code
+private const val TAB = '\t'.code
+private const val DELETE = 0x7F
+private const val COLON = ':'.code
+private const val SEMICOLON = ';'.code
+private const val HEXADECIMAL = 16
+
+/** Characters of a token other than letters and digits; the most frequent one comes first. */
+private const val TOKEN_SYMBOLS = "-!#$%&'*+.^_`|~"
 
 /** A part of a response that has a grammar of its own. */
 internal abstract class GrammarPart {
@@ -66,7 +74,7 @@
         return index
     }
 
-    /** Examines the next [byte] that may not have any value. */
+    /** Examines the next [byte], which is not one of the opaque ones. */
     abstract fun examine(byte: Int)
 }
 
@@ -219,10 +227,3 @@
 
 /** Returns whether [byte] may occur in a reason phrase or in the value of a field. */
 private fun isText(byte: Int): Boolean = byte == TAB || (byte >= SPACE && byte != DELETE)
-
-private const val TAB = '\t'.code
-private const val DELETE = 0x7F
-private const val COLON = ':'.code
-private const val SEMICOLON = ';'.code
-private const val HEXADECIMAL = 16
-private const val TOKEN_SYMBOLS = "-!#$%&'*+.^_`|~"
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
@@ -78,13 +78,16 @@
         buffer: ByteBuf,
         out: MutableList<Any>,
     ) {
-        if (awaiting && !rejected && isValid(buffer)) return decodeExamined(context, buffer, out)
+        if (awaiting && !rejected && examine(buffer)) return decodeExamined(context, buffer, out)
         buffer.skipBytes(buffer.readableBytes())
         if (!rejected) surplusReceived()
     }
 
-    /** Examines the received bytes as far as the decoder has not been told what follows them. */
-    private fun isValid(buffer: ByteBuf): Boolean {
+    /**
+     * Examines the bytes that have not been decoded, up to the end of the head or body, and returns whether they are
+     * valid. What may follow a head is known once the head has been decoded.
+     */
+    private fun examine(buffer: ByteBuf): Boolean {
         while (true) {
             val current = part ?: return true
             val start = buffer.readerIndex() + examinedBytes
