agent: report a request that cannot be sent

A path with a percent sign that begins no escape sequence, or a header or method that the JDK's client refuses, threw an exception that left the entry without a message. The path is escaped, and the rest fails as a request that may have run. InvalidAnswerTest sends such a path.

--- a/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
@@ -75,14 +75,27 @@
         traceparent: String?,
         sink: AnswerSink,
     ) {
-        val request = HttpRequest.newBuilder(URI("http://$upstream${escapedPath(attempt.path)}"))
+        val request =
+            try {
+                requestOf(attempt, traceparent)
+            } catch (invalid: IllegalArgumentException) {
+                throw IOException("the request cannot be sent: ${invalid.message}", invalid)
+            }
+        relay(send(request), sink)
+    }
+
+    private fun requestOf(
+        attempt: OpenAttempt,
+        traceparent: String?,
+    ): HttpRequest {
+        val request = HttpRequest.newBuilder(URI.create("http://$upstream${escapedPath(attempt.path)}"))
         val body = attempt.body
         val publisher = if (body.isEmpty()) BodyPublishers.noBody() else BodyPublishers.ofByteArray(body)
         request.method(attempt.method, publisher)
         attempt.headers.filter(::isForwarded).forEach { request.header(it.name, it.value) }
         request.header(REQUEST_ID_HEADER, attempt.request.value)
         traceparent?.let { request.header("traceparent", it) }
-        relay(send(request.build()), sink)
+        return request.build()
     }
 
     private suspend fun send(request: HttpRequest): StreamedAnswer = suspendCancellableCoroutine { continuation ->
@@ -91,13 +104,8 @@
         continuation.invokeOnCancellation { sending.cancel(true) }
         sending.whenComplete { answer, failure ->
             val cause = if (failure is CompletionException) failure.cause else failure
-            if (cause ==
-                null
-            ) {
-                continuation.resume(answer) { _, late, _ -> discard(late) }
-            } else {
-                continuation.resumeWithException(cause)
-            }
+            if (cause != null) continuation.resumeWithException(cause)
+            if (answer != null) continuation.resume(answer) { _, late, _ -> discard(late) }
         }
     }
 
@@ -158,9 +166,12 @@
 private const val ESCAPE_FORMAT = "%%%02X"
 private const val ILLEGAL_IN_PATHS = "\"<>[\\]^`{|}"
 
+/** A percent sign that begins no escape sequence. */
+private val barePercent = Regex("%(?![0-9A-Fa-f]{2})")
+
 /** Returns [path] with the characters escaped that a URI must not hold. */
 private fun escapedPath(path: String): String = buildString {
-    path.toByteArray().forEach { byte ->
+    path.replace(barePercent, "%25").toByteArray().forEach { byte ->
         val char = byte.toInt().toChar()
         if (char in '!'..'~' && char !in ILLEGAL_IN_PATHS) append(char) else append(ESCAPE_FORMAT.format(byte))
     }
--- a/agent/src/test/kotlin/io/carawaytrack/agent/InvalidAnswerTest.kt
+++ b/agent/src/test/kotlin/io/carawaytrack/agent/InvalidAnswerTest.kt
@@ -183,13 +183,13 @@
                 }
             }
             val client = UpstreamClient(HostPort("127.0.0.1", server.localPort))
-            val attempt = openAttempt(method = method, path = "/x?y=%20{z}")
+            val attempt = openAttempt(method = method, path = "/x?y=%20{z}%")
             val failures =
                 List(2) { runCatching { runBlocking { client.run(attempt, null, NoSink) } }.exceptionOrNull() }
             expectThat(failures.first()).isNull()
             expectThat(failures.last()).isA<IOException>()
         }
-        expectThat(requests.map { it.lines().first() }).isEqualTo(List(2) { "$method /x?y=%20%7Bz%7D HTTP/1.1" })
+        expectThat(requests.map { it.lines().first() }).isEqualTo(List(2) { "$method /x?y=%20%7Bz%7D%25 HTTP/1.1" })
     }
 
     private object NoSink : AnswerSink {
