gateway: test that odd but valid responses are passed on as they are

Nineteen responses, each twice on a connection where it is kept: without a reason phrase, statuses without a name, HTTP/1.0, line feeds alone, empty and Latin-1 values, unusual names, an interim response, chunk extensions, trailers, and bodies that end with their connection.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
@@ -109,6 +109,25 @@
     @MethodSource("framings")
     fun `a response that does not state the end of its body by the grammar is not passed on`(case: Case) = check(case)
 
+    @ParameterizedTest
+    @MethodSource("oddResponses")
+    fun `a response that is odd but valid reaches the caller as it is`(
+        response: String,
+        endsConnection: Boolean,
+    ) {
+        serve({ _, out, _ -> !endsConnection.also { out.write(response.toByteArray(Charsets.ISO_8859_1)) } })
+        repeat(2) {
+            val received = received(Call.NonRetryable)
+            expectThat(received.faults).describedAs("bytes at the caller: ${received.printable}").isEmpty()
+            expectThat(received.status.toString()).isEqualTo(response.substringAfterLast("HTTP/1.").substring(2, 5))
+            expectThat(received["x-seal"]).isEqualTo("s")
+            val odd = response.substringAfter("x-odd:", "").substringBefore('\n').trim()
+            expectThat(received["x-odd"].orEmpty()).isEqualTo(odd)
+            expectThat(received.body).isEqualTo("done")
+        }
+        expectThat(faults).isEmpty()
+    }
+
     companion object {
         private fun heads(
             calls: List<Call>,
@@ -210,6 +229,44 @@
                 )
         }
 
+        /** Valid responses with the body "done", and whether their connection ends after them. */
+        @JvmStatic
+        fun oddResponses(): List<Array<Any>> {
+            val own = OWN_FIELDS.replace("\n", "\r\n")
+            val sized = "${own}Content-Length: 4\r\n\r\ndone"
+            val chunked = "${own}Transfer-Encoding: chunked\r\n"
+            val kept =
+                listOf(
+                    "200",
+                    "200 ",
+                    "200 \u00e9t\u00e9\t!",
+                    "299 Odd",
+                    "404",
+                    "599 x",
+                ).map { "HTTP/1.1 $it\r\n$sized" } +
+                    listOf(
+                        "x-odd:",
+                        "x-odd:1",
+                        "x-odd: \t1 2 \t",
+                        "x-odd: \u00e9\"(),/:;<=>?@[]{}",
+                        "!#\$%&'*+.^_`|~: 1",
+                    ).map { "HTTP/1.1 200 OK\r\n$it\r\n$sized" } +
+                    listOf("HTTP/1.1 103 Early Hints\r\nx: 1\r\n\r\nHTTP/1.1 200 OK\r\n$sized") +
+                    listOf("HTTP/1.1 200 OK\n" + sized.replace("\r\n", "\n")) +
+                    listOf(
+                        "4;a=\"b\"\r\ndone\r\n0\r\n\r\n",
+                        "04 ;a\r\ndone\r\n000\r\nx: 1\r\ny:\r\n\r\n",
+                        "2\r\ndo\r\n2\r\nne\r\n0\r\n\r\n",
+                    ).map { "HTTP/1.1 200 OK\r\n$chunked\r\n$it" }
+            val ended =
+                listOf(
+                    "HTTP/1.1 200 OK\r\n$own\r\ndone",
+                    "HTTP/1.0 200 OK\r\n$own\r\ndone",
+                    "HTTP/1.1 500\r\n$own\r\ndone",
+                )
+            return kept.map { arrayOf<Any>(it, false) } + ended.map { arrayOf<Any>(it, true) }
+        }
+
         private fun inChunks(body: String) = "HTTP/1.1 200 OK\n${OWN_FIELDS}Transfer-Encoding: chunked\n\n$body"
     }
 }
