gateway: check transfer codings where all responses are decoded

What was seen: the duty client counted a call as delivered by a response with the transfer coding gzip, or in chunks of HTTP/1.0, whose end is not known.

Cause: the check was a part of attributing a response to a request, which the duty client does not do. It belongs to the framing, so the decoder that both share makes it now; the fault of such a response is Undecodable, as for lengths, and MalformedResponseTest expects that name.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseIdentity.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseIdentity.kt
@@ -5,7 +5,6 @@
 package io.carawaytrack.gateway
 
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
@@ -37,7 +36,7 @@
 ): ResponseIdentity {
     val ids = headers().getAll(headerNames.attemptId)
     return when {
-        isJoined() || hasUnknownFraming() || ids.size > 1 -> ResponseIdentity.Unknown
+        isJoined() || ids.size > 1 -> ResponseIdentity.Unknown
         // A refusal counts regardless of its body, which is not passed on.
         headers().contains(HttpHeaderNames.CONTENT_ENCODING) && refusal(headerNames) == null -> ResponseIdentity.Unknown
         status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code() -> ResponseIdentity.Unknown
@@ -55,10 +54,3 @@
         headers().any { (_, value) -> hasStatusLine(value) }
 
 private fun hasStatusLine(text: String) = text.contains(VERSION_PREFIX) && statusLine.containsMatchIn(text)
-
-private fun HttpResponse.hasUnknownFraming(): Boolean {
-    val codings = headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
-    if (codings.isEmpty()) return false
-    val chunked = codings.size == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.single())
-    return !chunked || protocolVersion() == HttpVersion.HTTP_1_0
-}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamResponseDecoder.kt
@@ -11,11 +11,14 @@
 import io.netty.channel.ChannelInboundHandler
 import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 
 private const val MAX_LINE_BYTES = 8_192
@@ -115,15 +118,27 @@
     }
 
     private fun expectPartAfter(decoded: Any) {
-        if (decoded is HttpResponse && HttpUtil.isTransferEncodingChunked(decoded)) part = ChunkedBody()
+        if (decoded is HttpResponse) {
+            if (decoded.hasUnknownFraming()) decoded.decoderResult = failure("expected no transfer coding but chunked")
+            if (HttpUtil.isTransferEncodingChunked(decoded)) part = ChunkedBody()
+        }
         if (decoded is LastHttpContent) part = StatusLine()
     }
 
     override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
-        message.decoderResult =
-            DecoderResult.failure(IllegalArgumentException("expected Content-Length or a chunked body, got both"))
+        message.decoderResult = failure("expected Content-Length or a chunked body, got both")
     }
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         withoutBody || super.isContentAlwaysEmpty(message)
 }
+
+private fun failure(reason: String) = DecoderResult.failure(IllegalArgumentException(reason))
+
+/** Returns whether the end of the body is unknown: no coding but `chunked` is known, and none in HTTP/1.0. */
+private fun HttpResponse.hasUnknownFraming(): Boolean {
+    val codings = headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+    if (codings.isEmpty()) return false
+    val chunked = codings.size == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.single())
+    return !chunked || protocolVersion() == HttpVersion.HTTP_1_0
+}
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/MalformedResponseTest.kt
@@ -216,7 +216,7 @@
             val codings =
                 "gzip;gzip, chunked;chunked, chunked;chunked\nTransfer-Encoding: chunked;identity;".split(';')
             val chunkedByOldVersion = inChunks("4\nnope\n0\n\n").replace("HTTP/1.1", "HTTP/1.0")
-            return heads(calls, listOf(chunkedByOldVersion), "Unattributable") +
+            return heads(calls, listOf(chunkedByOldVersion), "Undecodable") +
                 heads(
                     calls,
                     lengths.map { "HTTP/1.1 200 OK\n${OWN_FIELDS}Content-Length: $it\n\nnope" },
@@ -225,7 +225,7 @@
                 heads(
                     calls,
                     codings.map { "HTTP/1.1 200 OK\n${OWN_FIELDS}Transfer-Encoding: $it\n\n4\nnope\n0\n\n" },
-                    "Unattributable",
+                    "Undecodable",
                 )
         }
 
