--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseGrammar.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ResponseGrammar.kt
@@ -17,16 +17,16 @@
     /** The value of a field holds a control character. */
     FieldValue,
 
-    /** The size of a chunk is no number that the decoder supports, or the chunk does not end there. */
+    /** The size of a chunk is no number that the decoder supports, or the chunk does not end where its size says. */
     Chunk,
 
-    /** The decoder rejects it: it exceeds a limit, or its length is contradictory or no number. */
+    /** It exceeds a limit of the decoder, or where its body ends is contradictory, no number or an unknown coding. */
     Undecodable,
 
-    /** It may belong to another request, is joined from several responses, or has a coding that is not supported. */
+    /** It may belong to another request, is joined from several responses, or its content has a coding. */
     Unattributable,
 
-    /** More interim responses, or bytes of responses to other requests, precede it than an upstream in order sends. */
+    /** Too many interim responses, or bytes of responses to other requests, precede it. */
     Excess,
 }
 
@@ -81,14 +81,14 @@
 /** `HTTP/1.x`, a status from 100 to 599 and the reason phrase, which may be absent with the space before it. */
 internal class StatusLine : GrammarPart() {
     private var position = 0
-    private var returned = false
+    private var carriageReturnSeen = false
 
     override fun examine(byte: Int) {
         val mayEnd = position >= PATTERN.length
         when {
-            returned && byte != LINE_FEED -> fault = ResponseFault.StatusLine
+            carriageReturnSeen && byte != LINE_FEED -> fault = ResponseFault.StatusLine
             mayEnd && byte == LINE_FEED -> isComplete = true
-            mayEnd && byte == CARRIAGE_RETURN -> returned = true
+            mayEnd && byte == CARRIAGE_RETURN -> carriageReturnSeen = true
             !isAllowed(byte) -> fault = ResponseFault.StatusLine
             else -> position++
         }
@@ -111,27 +111,27 @@
 
 /** Field lines and the empty line after them: a token, a colon and a value, which no other line continues. */
 internal class FieldSection : GrammarPart() {
-    private enum class Place { LineStart, Name, Value, ReturnInValue, ReturnAtLineStart }
+    private enum class State { LineStart, Name, Value, ValueReturn, LastReturn }
 
-    private var place = Place.LineStart
+    private var state = State.LineStart
 
     override fun examine(byte: Int) {
-        when (place) {
-            Place.LineStart -> beginLine(byte)
-            Place.Name ->
+        when (state) {
+            State.LineStart -> beginLine(byte)
+            State.Name ->
                 when {
-                    byte == COLON -> place = Place.Value
+                    byte == COLON -> state = State.Value
                     !isToken(byte) -> fault = ResponseFault.FieldName
                 }
-            Place.Value ->
+            State.Value ->
                 when {
-                    byte == LINE_FEED -> place = Place.LineStart
-                    byte == CARRIAGE_RETURN -> place = Place.ReturnInValue
+                    byte == LINE_FEED -> state = State.LineStart
+                    byte == CARRIAGE_RETURN -> state = State.ValueReturn
                     !isText(byte) -> fault = ResponseFault.FieldValue
                 }
-            Place.ReturnInValue ->
-                if (byte == LINE_FEED) place = Place.LineStart else fault = ResponseFault.FieldValue
-            Place.ReturnAtLineStart ->
+            State.ValueReturn ->
+                if (byte == LINE_FEED) state = State.LineStart else fault = ResponseFault.FieldValue
+            State.LastReturn ->
                 if (byte == LINE_FEED) isComplete = true else fault = ResponseFault.FieldName
         }
     }
@@ -139,8 +139,8 @@
     private fun beginLine(byte: Int) {
         when {
             byte == LINE_FEED -> isComplete = true
-            byte == CARRIAGE_RETURN -> place = Place.ReturnAtLineStart
-            isToken(byte) -> place = Place.Name
+            byte == CARRIAGE_RETURN -> state = State.LastReturn
+            isToken(byte) -> state = State.Name
             else -> fault = ResponseFault.FieldName
         }
     }
@@ -151,29 +151,29 @@
  * in fields, a line feed alone ends no line.
  */
 internal class ChunkedBody : GrammarPart() {
-    private enum class Place { Size, BlankAfterSize, Extension, ReturnAfterSize, DataEnd, ReturnAfterData, Trailers }
+    private enum class State { Size, BlankAfterSize, Extension, SizeReturn, DataEnd, DataReturn, Trailers }
 
-    private var place = Place.Size
+    private var state = State.Size
     private var size: Long? = null
     private val trailers = FieldSection()
 
     override fun examine(byte: Int) {
-        when (place) {
-            Place.Size -> examineSize(byte)
-            Place.BlankAfterSize ->
+        when (state) {
+            State.Size -> examineSize(byte)
+            State.BlankAfterSize ->
                 when {
-                    byte == SEMICOLON -> place = Place.Extension
+                    byte == SEMICOLON -> state = State.Extension
                     !isBlank(byte) -> fault = ResponseFault.Chunk
                 }
-            Place.Extension ->
+            State.Extension ->
                 when {
-                    byte == CARRIAGE_RETURN -> place = Place.ReturnAfterSize
+                    byte == CARRIAGE_RETURN -> state = State.SizeReturn
                     !isText(byte) -> fault = ResponseFault.Chunk
                 }
-            Place.ReturnAfterSize -> expect(byte, LINE_FEED, ::beginData)
-            Place.DataEnd -> expect(byte, CARRIAGE_RETURN) { place = Place.ReturnAfterData }
-            Place.ReturnAfterData -> expect(byte, LINE_FEED, ::beginChunk)
-            Place.Trailers -> examineTrailers(byte)
+            State.SizeReturn -> expect(byte, LINE_FEED, ::beginData)
+            State.DataEnd -> expect(byte, CARRIAGE_RETURN) { state = State.DataReturn }
+            State.DataReturn -> expect(byte, LINE_FEED, ::beginChunk)
+            State.Trailers -> examineTrailers(byte)
         }
     }
 
@@ -187,7 +187,7 @@
 
     private fun beginChunk() {
         size = null
-        place = Place.Size
+        state = State.Size
     }
 
     private fun examineSize(byte: Int) {
@@ -199,16 +199,16 @@
                 if (next <= Int.MAX_VALUE) size = next else fault = ResponseFault.Chunk
             }
             sizeSoFar == null -> fault = ResponseFault.Chunk
-            byte == CARRIAGE_RETURN -> place = Place.ReturnAfterSize
-            byte == SEMICOLON -> place = Place.Extension
-            isBlank(byte) -> place = Place.BlankAfterSize
+            byte == CARRIAGE_RETURN -> state = State.SizeReturn
+            byte == SEMICOLON -> state = State.Extension
+            isBlank(byte) -> state = State.BlankAfterSize
             else -> fault = ResponseFault.Chunk
         }
     }
 
     private fun beginData() {
         opaqueBytes = size?.toInt() ?: 0
-        place = if (opaqueBytes == 0) Place.Trailers else Place.DataEnd
+        state = if (opaqueBytes == 0) State.Trailers else State.DataEnd
     }
 
     private fun examineTrailers(byte: Int) {
