gateway: replace answers only of requests that may run again

Cause: replacing an answer asked the model policy and the retry budget, but not whether the request may run again; each place that sends a request again decided that for itself.

Change: Exchange.tryRetry decides for all of them, rejections and replaced answers included. The dispatcher only names the model.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -246,16 +246,10 @@
         models.answerStarted(exchange, confidence)
     }
 
-    override fun escalationModel(
+    override fun replacementModel(
         exchange: Exchange,
         confidence: Int?,
-    ): Int? {
-        val replacement = models.replacement(exchange, confidence) ?: return null
-        if (!exchange.arrivals.tryNext(RetryReason.Escalation)) return null
-        models.answerReplaced(exchange, confidence)
-        logExchange(exchange, "answer_dropped", replacement.fields)
-        return replacement.index
-    }
+    ): ModelReplacement? = models.replacement(exchange, confidence)
 
     override fun logExchange(
         exchange: Exchange,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -84,6 +84,9 @@
     /** Whether it is certain that no upstream has executed the request or will execute it. */
     val hasNotRun: Boolean get() = !mayHaveRun
 
+    /** Whether the request may run once more although an upstream may have executed it. */
+    private val mayRunAgain: Boolean get() = route.retryable && relay.canResume && watch.allowsRetry
+
     private val execution get() = if (hasNotRun) Execution.NotRun else Execution.MayHaveRun
 
     init {
@@ -121,7 +124,7 @@
             phase == ExchangePhase.Ended -> return
             now >= request.deadlineAtMillis ->
                 abandonWith { timedOut(execution, request.deadlineAtMillis - request.arrivedAtMillis) }
-            phase == ExchangePhase.Sent && route.retryable && relay.canResume ->
+            phase == ExchangePhase.Sent && mayRunAgain ->
                 context.unresponsive.abandonReason(this)?.let(::abandonUpstream)
         }
     }
@@ -152,13 +155,17 @@
         if (!response.isSuccess()) return
         val confidence = response.headers()[context.headerNames.confidence]?.toIntOrNull()
         context.responseStarted(this, confidence)
-        if (relay.isStream(response) && !relay.started) context.escalationModel(this, confidence)?.let(::escalateTo)
+        if (!relay.isStream(response) || relay.started || !mayRunAgain) return
+        context.replacementModel(this, confidence)?.let { replaceAnswer(it) }
     }
 
-    /** Replaces a response of which the caller has received nothing by one of the larger model at [index]. */
-    private fun escalateTo(index: Int) {
+    /** Replaces a response of which the caller has received nothing by one of a larger model. */
+    private fun replaceAnswer(replacement: ModelReplacement) {
+        if (!tryRetry(RetryReason.Escalation)) return
+        context.logExchange(this, "answer_dropped", replacement.fields)
+        progress.replacedConfidence = replacement.replacedConfidence
         releaseAttempt(cancel = true)
-        modelIndex = index
+        modelIndex = replacement.index
         waitForUpstream()
     }
 
@@ -235,7 +242,7 @@
             callerDisconnected -> abandon()
             refusal == UpstreamRefusal.Rejected && attempts >= MAX_REJECTIONS ->
                 fail(rejectedByUpstreams(execution, attempts))
-            !arrivals.tryNext(RetryReason.Rejection) -> fail(rejectionsExhausted(this, context.retryAfterMillis(this)))
+            !tryRetry(RetryReason.Rejection) -> fail(rejectionsExhausted(this, context.retryAfterMillis(this)))
             else -> waitForUpstream()
         }
     }
@@ -297,10 +304,13 @@
         target = null
     }
 
-    /** Takes a permit for another arrival if the request may run again although an upstream may have executed it. */
+    /**
+     * Takes a permit for another arrival, whatever the [reason], if the request may be sent again: no upstream can have
+     * executed it, or it may run again.
+     */
     private fun tryRetry(reason: RetryReason): Boolean {
         val inTime = request.deadlineAtMillis - context.nowMillis() >= MIN_REMAINING_MILLIS
-        val allowed = route.retryable && relay.canResume && watch.allowsRetry
+        val allowed = (attempt == null && hasNotRun) || mayRunAgain
         return allowed && inTime && !callerDisconnected && arrivals.tryNext(reason)
     }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ExchangeContext.kt
@@ -102,11 +102,11 @@
         confidence: Int?,
     )
 
-    /** Returns the index of the model whose response is to replace one of this [confidence], or null to keep it. */
-    fun escalationModel(
+    /** Returns the model whose response is to replace one of this [confidence], or null to keep it. */
+    fun replacementModel(
         exchange: Exchange,
         confidence: Int?,
-    ): Int?
+    ): ModelReplacement?
 
     fun logExchange(
         exchange: Exchange,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelSelection.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelSelection.kt
@@ -8,9 +8,10 @@
 import io.carawaytrack.model.PoolName
 import io.carawaytrack.routing.load.PoolOutlook
 
-/** A model that is to replace an answer, and the log fields that state why. */
+/** A model that is to replace an answer of [replacedConfidence], and the log fields that state why. */
 internal class ModelReplacement(
     val index: Int,
+    val replacedConfidence: Int,
     val fields: Map<String, Any?>,
 )
 
@@ -104,7 +105,7 @@
             return null
         }
         val fields = mapOf("confidence" to confidence, "toModelIndex" to chosen, "onTimeLeftMillis" to remainingMillis)
-        return ModelReplacement(chosen, fields + loadFields(load, chosen))
+        return ModelReplacement(chosen, confidence, fields + loadFields(load, chosen))
     }
 
     private fun loadFields(
@@ -119,12 +120,4 @@
             "expectedMillis" to load.outlook.firstEventMillis(work)?.toLong(),
         )
     }
-
-    /** Records that the answer of this [confidence] to [exchange] is replaced. */
-    fun answerReplaced(
-        exchange: Exchange,
-        confidence: Int?,
-    ) {
-        exchange.progress.replacedConfidence = confidence
-    }
 }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -11,6 +11,7 @@
 import io.carawaytrack.fleet.EngineTraits
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.KnownUpstream
+import io.carawaytrack.fleet.ModelPrice
 import io.carawaytrack.fleet.PoolShare
 import io.carawaytrack.limits.RetrySettings
 import io.carawaytrack.model.HostPort
@@ -49,6 +50,10 @@
         reserved = setOf("x-expect", "x-organisation", "x-urgency"),
     )
 
+/** Models of routes that leave the choice to the gateway, the smallest first; the price suggests to try that one. */
+private val modelPrices = listOf(ModelPrice("small", 0.016), ModelPrice("middle", 0.12), ModelPrice("large", 0.24))
+private val models = modelPrices.map { it.model }
+
 internal const val STREAM_HEAD = "HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\nTransfer-Encoding: chunked\n\n"
 
 /** A gateway and its fake upstreams, started for each test. */
@@ -104,6 +109,9 @@
         streaming: Boolean = false,
         idempotent: Boolean = true,
         targetMillis: Long = 10_000,
+        models: List<String> = emptyList(),
+        maxAttempts: Int = 3,
+        pool: String = if (streaming) "llm" else "stock",
     ) = CatalogRoute(
         name = name,
         host = "shop.example",
@@ -115,9 +123,9 @@
         latencyTargetMillis = targetMillis,
         pauseTargetMillis = 1_000,
         priority = 0,
-        models = emptyList(),
-        shares = listOf(PoolShare(PoolName(if (streaming) "llm" else "stock"), 1)),
-        maxAttempts = 3,
+        models = models,
+        shares = listOf(PoolShare(PoolName(pool), 1)),
+        maxAttempts = maxAttempts,
         public = false,
         sticky = false,
     )
@@ -131,6 +139,8 @@
                 route("draft", streaming = true),
                 route("oneoff", streaming = true, idempotent = false),
                 route("prompt", streaming = true, targetMillis = 400),
+                route("note", streaming = true, targetMillis = 5_000, models = models),
+                route("memo", streaming = true, idempotent = false, targetMillis = 5_000, models = models),
             ),
         pools = listOf("stock", "llm").map { pool(it) }.associateBy { it.name },
         organisations = listOf(organisation("stalls", "k1"), organisation("scribes", "k2")),
@@ -149,7 +159,7 @@
         maxConnections = 10,
         coldStartMillis = 0,
         coldRequestsPerSecond = 0.0,
-        engine = if (name == "llm") EngineTraits(8, 1_000, emptyList()) else null,
+        engine = if (name == "llm") EngineTraits(8, 1_000, modelPrices) else null,
     )
 
     protected fun onLoop(action: () -> Unit) {
