gateway: use the largest model where the first answer stays

What callers saw: on routes whose streams cannot be resumed, and on others whose answers are never replaced, the smallest model answered first, as if its doubtful answers could be replaced.

Cause: the choice of the first model compares the price of a dropped small answer with that of the largest model, whether or not an answer can be dropped.

Change: CatalogRoute.answersReplaceable states once where answers can be replaced; elsewhere the first model is the largest, unless it would be late or, on busy engines, is not worth its delay.

Evidence: with the old choice 4 of 4 such routes of ReplacedAnswerTest used the smallest model; now all use the largest, and resumable routes the smallest.

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/Catalog.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/Catalog.kt
@@ -52,6 +52,12 @@
 ) {
     /** Whether a request may be retried on another upstream although an earlier one may have executed it. */
     val retryable: Boolean get() = if (streaming) resumable else idempotent
+
+    /**
+     * Whether an answer may be replaced by a larger model's while the caller has received none of it. Only streams are
+     * examined before they are complete, and each answer is a run of its own.
+     */
+    val answersReplaceable: Boolean get() = streaming && retryable && maxAttempts > 1
 }
 
 /** Price of a model that an engine can run, for a thousand generated tokens. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -155,7 +155,7 @@
         if (!response.isSuccess()) return
         val confidence = response.headers()[context.headerNames.confidence]?.toIntOrNull()
         context.responseStarted(this, confidence)
-        if (!relay.isStream(response) || relay.started || !mayRunAgain) return
+        if (!route.answersReplaceable || relay.started || !mayRunAgain) return
         context.replacementModel(this, confidence)?.let { replaceAnswer(it) }
     }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelPolicy.kt
@@ -7,6 +7,9 @@
  * largest model at once. A response is replaced by one of the largest model when its confidence is too low for the cost
  * of a second response.
  *
+ * Where answers cannot be replaced, the largest model is used at once unless it is late, since the smallest one would
+ * leave four in ten callers with a poor answer.
+ *
  * When the engines are overloaded, responses of the largest model are late whatever their quality, and each further
  * request to it delays the others. In that case the response of the smallest model is used as it is. In time-critical
  * pools, a replacement that these rules allow must also be worth the delay that it causes to the others.
@@ -91,6 +94,26 @@
             ?: cheapest
     }
 
+    /**
+     * Returns the index of the model of a request whose first answer cannot be replaced: the largest one, unless its
+     * answer would be late or, under [load], is not worth the delay that it causes to the others.
+     */
+    fun onlyModel(
+        route: CatalogRoute,
+        load: ModelLoad?,
+    ): Int {
+        if (load == null) {
+            val late = expectedWaitMillis(statisticsOf(route)) > route.latencyTargetMillis
+            return if (late) 0 else route.models.lastIndex
+        }
+        val timely =
+            route.models.indices
+                .map { option(route, it, load) }
+                .filter { (it.firstEventMillis ?: 0.0) <= load.targetMillis }
+        // If all are late, the smallest model is the least late and delays the others least.
+        return tradeoff(load).first(timely, route.models.size)?.index ?: 0
+    }
+
     /** Returns the index of the model to try first by price. */
     fun firstModel(
         route: CatalogRoute,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelSelection.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/ModelSelection.kt
@@ -30,7 +30,8 @@
     ): Int {
         val route = exchange.request.route
         if (!exchange.request.gatewayChoosesModel) return 0
-        return policy.firstModel(route, pool, loadOf(exchange))
+        val load = loadOf(exchange)
+        return if (route.answersReplaceable) policy.firstModel(route, pool, load) else policy.onlyModel(route, load)
     }
 
     private fun loadOf(exchange: Exchange): ModelLoad? {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -139,8 +139,11 @@
                 route("draft", streaming = true),
                 route("oneoff", streaming = true, idempotent = false),
                 route("prompt", streaming = true, targetMillis = 400),
-                route("note", streaming = true, targetMillis = 5_000, models = models),
-                route("memo", streaming = true, idempotent = false, targetMillis = 5_000, models = models),
+                route("note", streaming = true, models = models, pool = "stock"),
+                route("memo", streaming = true, idempotent = false, models = models, pool = "stock"),
+                route("single", streaming = true, models = models, maxAttempts = 1, pool = "stock"),
+                route("quote", models = models),
+                route("order", idempotent = false, models = models),
             ),
         pools = listOf("stock", "llm").map { pool(it) }.associateBy { it.name },
         organisations = listOf(organisation("stalls", "k1"), organisation("scribes", "k2")),
@@ -159,7 +162,7 @@
         maxConnections = 10,
         coldStartMillis = 0,
         coldRequestsPerSecond = 0.0,
-        engine = if (name == "llm") EngineTraits(8, 1_000, modelPrices) else null,
+        engine = EngineTraits(8, 1_000, if (name == "llm") emptyList() else modelPrices),
     )
 
     protected fun onLoop(action: () -> Unit) {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ModelPolicyTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ModelPolicyTest.kt
@@ -178,6 +178,17 @@
         ).isEqualTo(2)
     }
 
+    /** Guards against late answers of the largest model to requests whose answers cannot be replaced. */
+    @Test
+    fun `the only model is the smallest while the largest one is late, and the largest after that`() {
+        val policy = ModelPolicy { nowMillis }
+        expectThat(policy.onlyModel(route, load = null)).isEqualTo(2)
+        repeat(20) { policy.recordWait(route, waitMillis = 3_000) }
+        expectThat(policy.onlyModel(route, load = null)).isEqualTo(0)
+        nowMillis += 4_000
+        expectThat(policy.onlyModel(route, load = null)).isEqualTo(2)
+    }
+
     /**
      * Simulates 60 s of 10 requests per second, half of them hard, on one engine that starts 4 responses of the largest
      * model per second, sequentially.
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ModelPolicyUnderLoadTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ModelPolicyUnderLoadTest.kt
@@ -137,6 +137,22 @@
         }
     }
 
+    /** Guards against poor answers that stay, and against good ones that are late or delay the others. */
+    @TestFactory
+    fun `the only model is the largest one that is in time and worth the delay`(): List<DynamicTest> = listOf(
+        FirstCase("not time-critical", smallPrice = 0.02, busyRatio = null, tokens = 12_000, index = 2),
+        FirstCase("idle, short prompt", smallPrice = 0.02, busyRatio = 0.5, tokens = 830, index = 2),
+        FirstCase("idle, largest model late", smallPrice = 0.02, busyRatio = 0.5, tokens = 12_000, index = 1),
+        FirstCase("idle, all models late", smallPrice = 0.02, busyRatio = 0.5, tokens = 80_000, index = 0),
+        FirstCase("full, long prompt", smallPrice = 0.02, busyRatio = 0.85, tokens = 12_000, index = 0),
+        FirstCase("full, short prompt", smallPrice = 0.02, busyRatio = 0.85, tokens = 830, index = 2),
+    ).map { case ->
+        dynamicTest(case.name) {
+            val load = case.busyRatio?.let { load(it, case.tokens, rank = 0) }
+            expectThat(ModelPolicy { 0 }.onlyModel(route, load)).isEqualTo(case.index)
+        }
+    }
+
     private companion object {
         const val SMALL_TOKENS_PER_MILLI = 60.0
     }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ReplacedAnswerTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ReplacedAnswerTest.kt
@@ -5,18 +5,27 @@
 package io.carawaytrack.gateway
 
 import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.EnumSource
 import strikt.api.expectThat
-import strikt.assertions.hasSize
+import strikt.assertions.contains
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import java.io.OutputStream
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
 
 private const val LATE_MILLIS = 700L
+
+/** Number and duration of answers of the largest model after which it is expected to be late. */
+private const val SLOW_ANSWERS = 10
+private const val SLOW_ANSWER_MILLIS = 13_000L
+
+/** Time after which the largest model is no longer expected to be late. */
+private const val RECOVERY_MILLIS = 3_000L
 private const val CHUNKED = "Transfer-Encoding: chunked\n"
 
-internal class ReplacedAnswerTest : GatewayFixture(clockDivisor = 10) {
+internal class ReplacedAnswerTest : GatewayFixture(clockDivisor = 100) {
     /** Answers in which all models but the largest state [confidence]. */
     enum class Doubtful(
         val confidence: Int = 20,
@@ -40,8 +49,10 @@
         out: OutputStream,
     ): Boolean {
         val model = request["x-model"].orEmpty()
+        answersHeld?.await()
         val body = answerOf(model)
         val fields = headers.replace("LENGTH", "${body.length}")
+        beforeAnswer()
         advance(lateMillis)
         out.send("${before}HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\n")
         out.send("x-confidence: ${if (model == "large") 95 else confidence}\n$fields\n")
@@ -49,6 +60,21 @@
         return headers.isNotEmpty()
     }
 
+    private var answersHeld: CountDownLatch? = null
+    private var beforeAnswer = {}
+
+    /** Lets the largest model be so slow on [path] that the next request there is sent to the smallest one. */
+    private fun delayLargestModel(path: String) {
+        val held = CountDownLatch(1).also { answersHeld = it }
+        val waiting = List(SLOW_ANSWERS) { FakeCaller(callers) }
+        waiting.forEach { it.send(request(path, headers = "Connection: close\n", deadlineMillis = 14_000)) }
+        awaitOnLoop { modelsAsked().size == SLOW_ANSWERS }
+        advance(SLOW_ANSWER_MILLIS)
+        held.countDown()
+        waiting.forEach { caller -> caller.use { it.readUntil("(end)") } }
+        upstreams.forEach { it.requests.clear() }
+    }
+
     private fun serveAll(doubtful: Doubtful) {
         val respond = { request: RawMessage, out: OutputStream, _: Socket -> doubtful.answer(request, out) }
         serveFrom(List(3) { FakeUpstream(respond = respond) })
@@ -70,14 +96,19 @@
 
     private fun modelsAsked() = upstreams.flatMap { it.requests }.map { it["x-model"].orEmpty() }
 
-    /** Guards against running a request that may run once again because a model has a low confidence in its answer. */
+    /**
+     * Guards against running a request that may run once again because a model has a low confidence in its answer. Such
+     * requests use the smallest model only while the largest one is slow.
+     */
     @ParameterizedTest
     @EnumSource
     fun `a doubtful answer is not replaced if its request may run once`(doubtful: Doubtful) {
         serveAll(doubtful)
+        delayLargestModel("/memo/x")
+        beforeAnswer = { advance(RECOVERY_MILLIS) }
         val received = call("/memo/x")
-        expectThat(modelsAsked()).hasSize(1)
-        expectAnswer(received, modelsAsked().single())
+        expectThat(modelsAsked()).isEqualTo(listOf("small"))
+        expectAnswer(received, "small")
     }
 
     /** Guards against a mend of the failure above that keeps answers which may be replaced. */
@@ -89,4 +120,17 @@
         expectThat(modelsAsked().sorted()).isEqualTo(listOf("large", "small"))
         expectAnswer(received, "large")
     }
+
+    /** Guards against the smallest model's poor answers where the first answer stays. */
+    @ParameterizedTest
+    @CsvSource("note,small", "memo,large", "single,large", "quote,large", "order,large")
+    fun `the largest model answers at once if its answer cannot be replaced`(
+        route: String,
+        model: String,
+    ) {
+        serveAll(Doubtful.Low)
+        call("/$route/x")
+        expectThat(modelsAsked()).contains(model)
+        expectThat("small" in modelsAsked()).isEqualTo(model == "small")
+    }
 }
