gateway: let only the measured answer of ReplacedAnswerTest be late

Seen: one of 19 cases failed once in a run of all tests of the gateway ("Late": found ["large"]). Each of the ten slow answers that come before the measured one advanced the clock as well, in any order, so that the wait for the largest model had at times passed before the measured request was sent.

Now only the measured answer advances the clock.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ReplacedAnswerTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ReplacedAnswerTest.kt
@@ -53,7 +53,6 @@
         val body = answerOf(model)
         val fields = headers.replace("LENGTH", "${body.length}")
         beforeAnswer()
-        advance(lateMillis)
         out.send("${before}HTTP/1.1 200 OK\nx-attempt: id1\nx-seal: s\n")
         out.send("x-confidence: ${if (model == "large") 95 else confidence}\n$fields\n")
         out.raw(if (CHUNKED in headers) "${body.length.toString(16)}\r\n$body\r\n0\r\n\r\n" else body)
@@ -105,7 +104,7 @@
     fun `a doubtful answer is not replaced if its request may run once`(doubtful: Doubtful) {
         serveAll(doubtful)
         delayLargestModel("/memo/x")
-        beforeAnswer = { advance(RECOVERY_MILLIS) }
+        beforeAnswer = { advance(RECOVERY_MILLIS + doubtful.lateMillis) }
         val received = call("/memo/x")
         expectThat(modelsAsked()).isEqualTo(listOf("small"))
         expectAnswer(received, "small")
@@ -116,6 +115,7 @@
     @EnumSource
     fun `a doubtful answer is replaced by one of the largest model if its request may run again`(doubtful: Doubtful) {
         serveAll(doubtful)
+        beforeAnswer = { advance(doubtful.lateMillis) }
         val received = call("/note/x")
         expectThat(modelsAsked().sorted()).isEqualTo(listOf("large", "small"))
         expectAnswer(received, "large")
