gateway: await a reset before an early success without a length is complete

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent half of the body and its process ended; the caller got the half with a length of its own, as complete.

Cause: the end of the output completed the answer once the request was written, which shows only that the system of this host has taken it. The reset that follows when the rest of the upload meets the closed socket is not shown by a read, and there was nothing left to write.

Change: such a success, to a request that does not fit into one segment, is complete 20 ms and two round trips after the request is written and the output has ended, unless the socket has failed. Errors, and answers with a length or in chunks, are passed on as before.

The slow clock of the test leaves a busy machine a second between the end and the reset; the limits of time in the product are not the test's.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
@@ -6,7 +6,6 @@
 package io.carawaytrack.gateway
 
 import io.carawaytrack.model.HostPort
-import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
@@ -19,6 +18,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.TimeUnit
 
 /** Margin before the end of the keep-alive time within which an idle connection is no longer used. */
 private const val KEEP_ALIVE_MARGIN_MILLIS = 700L
@@ -29,6 +29,16 @@
 /** Maximum body size of a response to another request that is skipped on the way to the awaited one. */
 private const val MAX_SKIPPED_BYTES = 64 * 1024
 
+/**
+ * Size of a body up to which it arrives in one segment with its head. An upstream that ends such a connection without
+ * having read the request resets it at once, so that no reset can follow the end of its output.
+ */
+private const val ONE_SEGMENT_BODY_BYTES = 1_000
+
+/** Time in addition to two round trips within which a reset follows the end of the upstream's output. */
+private const val RESET_MARGIN_MILLIS = 20L
+private const val RESET_CHECK_INTERVAL_MILLIS = 5L
+
 /** Number of requests without a success that a connection remembers; a repeated response follows within a few. */
 private const val MAX_UNSUCCESSFUL_REQUESTS = 16
 
@@ -49,7 +59,10 @@
     val address: HostPort,
     private val owner: UpstreamConnectionOwner,
 ) : ChannelInboundHandlerAdapter() {
-    lateinit var channel: Channel
+    lateinit var channel: UpstreamSocketChannel
+
+    /** Time that it took to open the connection. */
+    var roundTripMillis = 0L
     val decoder = UpstreamResponseDecoder(::receiveSurplus, ::reject)
     var idleSinceMillis = 0L
         private set
@@ -65,8 +78,9 @@
     private var written = false
     private var complete = false
 
-    /** Whether a success has ended with the upstream's output, which completes it once its request is written. */
-    private var completeOnceWritten = false
+    /** Whether a success has ended with the upstream's output, which completes it unless a reset follows. */
+    private var completeUnlessReset = false
+    private var inOneSegment = true
     private var interimResponses = 0
     private var skippedBytes = 0
     private val unsuccessfulRequests = ArrayDeque<String>()
@@ -88,7 +102,8 @@
         received = false
         written = false
         complete = false
-        completeOnceWritten = false
+        completeUnlessReset = false
+        inOneSegment = next.request.content().readableBytes() <= ONE_SEGMENT_BODY_BYTES
         interimResponses = 0
         skippedBytes = 0
         val method = next.request.method()
@@ -105,10 +120,23 @@
         written = succeeded
         // Netty closes the connection, which looks like its orderly end to the decoder of the response.
         if (!succeeded) broken = true
-        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, false)
-        if (!completeOnceWritten) return
-        complete = succeeded
-        channel.close()
+        if (inOneSegment) channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, false)
+        if (completeUnlessReset) awaitReset()
+    }
+
+    /**
+     * Waits until a reset would have arrived that shows that the upstream, which has ended its output in order, did not
+     * read the request to its end. That the request is written shows only that the system of this host has taken it.
+     */
+    private fun awaitReset(untilMillis: Long = owner.nowMillis() + RESET_MARGIN_MILLIS + 2 * roundTripMillis) {
+        if (channel.hasFailed()) broken = true
+        complete = !broken && owner.nowMillis() >= untilMillis
+        if (broken || complete) {
+            channel.close()
+        } else {
+            val checkAgain = { awaitReset(untilMillis) }
+            channel.eventLoop().schedule(checkAgain, RESET_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+        }
     }
 
     override fun channelRead(
@@ -202,9 +230,10 @@
         // A response without a length ends with the connection, so one that failed means that it is truncated.
         if (broken) return
         decoder.stop()
-        val success = response?.takeIf { it.isSuccess() && decoder.endsWithConnection(it) }
-        // A reset that interrupts the request may follow the end of the output; an error stands all the same.
-        if (success == null || written) complete = true else completeOnceWritten = true
+        // An error stands although the upstream may not have read the request.
+        val mayBeTruncated = response?.let { it.isSuccess() && decoder.endsWithConnection(it) } == true
+        if (!mayBeTruncated || (written && inOneSegment)) complete = true else completeUnlessReset = true
+        if (completeUnlessReset && written) awaitReset()
     }
 
     /** Ends an attempt whose response is complete, once all of its last read has been examined. */
@@ -236,7 +265,7 @@
         context: ChannelHandlerContext,
         event: Any,
     ) {
-        if (event is ChannelInputShutdownEvent && !completeOnceWritten) channel.close()
+        if (event is ChannelInputShutdownEvent && !completeUnlessReset) channel.close()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnections.kt
@@ -12,8 +12,6 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
-import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 
 /** Timeout for opening a connection to an upstream: some hundred round trips. */
@@ -78,7 +76,7 @@
 
     private fun bootstrap(handler: ChannelHandler) = Bootstrap()
         .group(group)
-        .channel(NioSocketChannel::class.java)
+        .channel(UpstreamSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(handler)
@@ -106,10 +104,12 @@
         attempt: Attempt,
     ) {
         val connection = UpstreamConnection(address, owner)
+        val startedAtMillis = nowMillis()
         bootstrap(initializer(connection))
             .connect(address.host, address.port)
             .addListener { future ->
                 if (future.isSuccess) {
+                    connection.roundTripMillis = nowMillis() - startedAtMillis
                     connection.start(attempt)
                 } else {
                     connectFailed(attempt)
@@ -124,8 +124,8 @@
         attempt.listener.onFailed(AttemptEnd.NotConnected)
     }
 
-    private fun initializer(connection: UpstreamConnection) = object : ChannelInitializer<SocketChannel>() {
-        override fun initChannel(channel: SocketChannel) {
+    private fun initializer(connection: UpstreamConnection) = object : ChannelInitializer<UpstreamSocketChannel>() {
+        override fun initChannel(channel: UpstreamSocketChannel) {
             connection.channel = channel
             channel.pipeline().addLast(
                 connection.decoder,
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/EarlyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EarlyResponseTest.kt
@@ -25,7 +25,8 @@
 
 private const val UNFRAMED = "x-attempt: id1\nx-seal: s\n\n"
 
-internal class EarlyResponseTest : GatewayFixture() {
+// The slow clock gives a busy machine more time between the end of an upstream's output and the reset.
+internal class EarlyResponseTest : GatewayFixture(clockDivisor = 50) {
     /**
      * Ways in which an upstream resets its connection after a part of a body without a length. A socket that is closed
      * without the option to reset it ends its output first, and is reset by the bytes that it has not read.
@@ -34,12 +35,22 @@
         val waitsForReader: Boolean = false,
         val readsBytes: Int = 0,
         val endsOutputFirst: Boolean = false,
+        val readsWhatHasCome: Boolean = false,
+        val shutsOutputDown: Boolean = false,
     ) {
         AtOnce,
         OnceTheBodyIsRead(waitsForReader = true),
         AfterPartOfTheUpload(waitsForReader = true, readsBytes = MEBIBYTE / 8),
         AfterTheEndOfOutput(endsOutputFirst = true),
         AfterTheEndOfOutputOnceTheBodyIsRead(waitsForReader = true, endsOutputFirst = true),
+        AtTheEndOfTheProcess(endsOutputFirst = true, readsWhatHasCome = true),
+        AtTheEndOfTheProcessOnceTheBodyIsRead(waitsForReader = true, endsOutputFirst = true, readsWhatHasCome = true),
+        AfterShutdownOfOutput(endsOutputFirst = true, shutsOutputDown = true),
+        AfterShutdownOfOutputAndPartOfTheUpload(
+            readsBytes = MEBIBYTE / 8,
+            endsOutputFirst = true,
+            shutsOutputDown = true,
+        ),
     }
 
     /** A caller's request on [path], and the body that the caller receives; null for a failure. */
@@ -82,7 +93,9 @@
                 out.send("HTTP/1.1 200 OK\n$UNFRAMED")
                 out.raw(call.part)
                 if (case.reset.waitsForReader) awaitReader()
-                socket.getInputStream().readNBytes(case.reset.readsBytes)
+                if (case.reset.shutsOutputDown) socket.shutdownOutput()
+                val hasCome = if (case.reset.readsWhatHasCome) socket.getInputStream().available() else 0
+                socket.getInputStream().readNBytes(case.reset.readsBytes + hasCome)
                 if (!case.reset.endsOutputFirst) socket.setSoLinger(true, 0)
                 false
             }
@@ -169,8 +182,7 @@
     companion object {
         @JvmStatic
         fun resets() = Reset.entries.flatMap { reset ->
-            // An orderly end that arrives once the request has been written is the end of the response.
-            val uploads = listOf(LONG_UPLOAD_BYTES, BUFFERED_UPLOAD_BYTES).take(if (reset.endsOutputFirst) 1 else 2)
+            val uploads = listOf(LONG_UPLOAD_BYTES, 4 * MEBIBYTE, BUFFERED_UPLOAD_BYTES)
             Call.entries.flatMap { call -> uploads.map { Case(reset, call, it) } }
         }
 
