gateway: hold back the last byte of a long upload

What callers saw: a part of an early success without a length looked complete also where no reset came: the upstream had read all of the upload that had come, by chance its end as well, when its process ended.

Cause: no byte was left for the upstream's system to answer with a reset.

A request that fits into the buffers of its receiver has arrived shortly after it was written, so a later success to it need not wait.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
@@ -37,6 +37,9 @@
 
 /** Time in addition to two round trips within which a reset follows the end of the upstream's output. */
 private const val RESET_MARGIN_MILLIS = 20L
+
+/** Time in addition to two round trips within which an upstream that does not read its request has begun to answer. */
+private const val EARLY_RESPONSE_MARGIN_MILLIS = 5L
 private const val RESET_CHECK_INTERVAL_MILLIS = 5L
 
 /** Number of requests without a success that a connection remembers; a repeated response follows within a few. */
@@ -63,6 +66,7 @@
 
     /** Time that it took to open the connection. */
     var roundTripMillis = 0L
+    private val resetDelayMillis get() = RESET_MARGIN_MILLIS + 2 * roundTripMillis
     val decoder = UpstreamResponseDecoder(::receiveSurplus, ::reject)
     var idleSinceMillis = 0L
         private set
@@ -79,8 +83,10 @@
     private var complete = false
 
     /** Whether a success has ended with the upstream's output, which completes it unless a reset follows. */
-    private var completeUnlessReset = false
+    private var awaitingReset = false
+    private var upload: RequestUpload? = null
     private var inOneSegment = true
+    private var writtenAtMillis = 0L
     private var interimResponses = 0
     private var skippedBytes = 0
     private val unsuccessfulRequests = ArrayDeque<String>()
@@ -102,7 +108,7 @@
         received = false
         written = false
         complete = false
-        completeUnlessReset = false
+        awaitingReset = false
         inOneSegment = next.request.content().readableBytes() <= ONE_SEGMENT_BODY_BYTES
         interimResponses = 0
         skippedBytes = 0
@@ -113,28 +119,42 @@
         channel.config().isAutoRead = true
         // The end of the upstream's output does not end the rest of the request.
         channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-        channel.writeAndFlush(next.request).addListener { sent -> requestWritten(sent.isSuccess) }
+        upload = RequestUpload(channel, next.request, owner.nowMillis, ::shouldHoldLastByte, ::requestWritten)
+        upload?.start()
+    }
+
+    /** Returns whether a response that has begun early may end yet, or one that begins early may be on its way. */
+    private fun shouldHoldLastByte(heldMillis: Long): Boolean {
+        val head = response ?: return heldMillis < EARLY_RESPONSE_MARGIN_MILLIS + 2 * roundTripMillis
+        return mayBeTruncated(head) && heldMillis < resetDelayMillis
     }
 
     private fun requestWritten(succeeded: Boolean) {
         written = succeeded
+        writtenAtMillis = owner.nowMillis()
         // Netty closes the connection, which looks like its orderly end to the decoder of the response.
         if (!succeeded) broken = true
         if (inOneSegment) channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, false)
-        if (completeUnlessReset) awaitReset()
+        if (awaitingReset) awaitReset()
     }
 
     /**
      * Waits until a reset would have arrived that shows that the upstream, which has ended its output in order, did not
      * read the request to its end. That the request is written shows only that the system of this host has taken it.
      */
-    private fun awaitReset(untilMillis: Long = owner.nowMillis() + RESET_MARGIN_MILLIS + 2 * roundTripMillis) {
+    private fun awaitReset() {
+        // What fits into the buffers of its receiver has arrived there since it was written.
+        val startedAtMillis = if (upload?.isLong == false) writtenAtMillis else owner.nowMillis()
+        completeUnlessReset(startedAtMillis + resetDelayMillis)
+    }
+
+    private fun completeUnlessReset(untilMillis: Long) {
         if (channel.hasFailed()) broken = true
         complete = !broken && owner.nowMillis() >= untilMillis
         if (broken || complete) {
             channel.close()
         } else {
-            val checkAgain = { awaitReset(untilMillis) }
+            val checkAgain = { completeUnlessReset(untilMillis) }
             channel.eventLoop().schedule(checkAgain, RESET_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
         }
     }
@@ -231,15 +251,22 @@
         if (broken) return
         decoder.stop()
         // An error stands although the upstream may not have read the request.
-        val mayBeTruncated = response?.let { it.isSuccess() && decoder.endsWithConnection(it) } == true
-        if (!mayBeTruncated || (written && inOneSegment)) complete = true else completeUnlessReset = true
-        if (completeUnlessReset && written) awaitReset()
+        val mayBeTruncated = response?.let(::mayBeTruncated) == true
+        if (!mayBeTruncated || (written && inOneSegment)) {
+            complete = true
+        } else {
+            awaitingReset = true
+            if (written) awaitReset() else upload?.sendLastByte()
+        }
     }
 
+    private fun mayBeTruncated(response: HttpResponse) = response.isSuccess() && decoder.endsWithConnection(response)
+
     /** Ends an attempt whose response is complete, once all of its last read has been examined. */
     private fun endAttempt(current: Attempt) {
         attempt = null
         current.end()
+        upload?.sendLastByte()
         if (reusable && written && channel.isActive) becomeIdle() else channel.close()
         current.listener.onComplete()
     }
@@ -265,7 +292,7 @@
         context: ChannelHandlerContext,
         event: Any,
     ) {
-        if (event is ChannelInputShutdownEvent && !completeUnlessReset) channel.close()
+        if (event is ChannelInputShutdownEvent && !awaitingReset) channel.close()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
