--- a/agent/src/test/kotlin/io/carawaytrack/agent/AgentFixture.kt
+++ b/agent/src/test/kotlin/io/carawaytrack/agent/AgentFixture.kt
@@ -58,6 +58,7 @@
     creditBytes: Long = 1_000,
     method: String = "POST",
     path: String = "/",
+    body: ByteArray = ByteArray(0),
 ) = OpenAttempt(
     attempt = attempt,
     request = RequestId("r$attempt"),
@@ -69,7 +70,7 @@
     method = method,
     path = path,
     headers = emptyList(),
-    body = ByteArray(0),
+    body = body,
     timeoutMillis = ATTEMPT_TIMEOUT_MILLIS,
     creditBytes = creditBytes,
 )
--- a/agent/src/test/kotlin/io/carawaytrack/agent/InvalidAnswerTest.kt
+++ b/agent/src/test/kotlin/io/carawaytrack/agent/InvalidAnswerTest.kt
@@ -17,10 +17,12 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
@@ -35,16 +37,23 @@
 import java.util.concurrent.TimeUnit
 
 private const val TIMEOUT_SECONDS = 20L
+private const val EARLY_ANSWERS = 12
+
+/** Size of an upload that its upstream may have read in part or as a whole when it ends. */
+private const val UPLOAD_BYTES = 200_000
 private const val HEAD = "HTTP/1.1 200 OK\r\n"
 private const val CHUNKED = "${HEAD}Transfer-Encoding: chunked\r\n\r\n"
 
 internal class InvalidAnswerTest {
     private val messages = CopyOnWriteArrayList<Message>()
 
-    private suspend fun runAttempt(port: Int) = UpstreamClient(HostPort("127.0.0.1", port)).let { client ->
-        val runner =
-            AttemptRunner(openAttempt(), { messages.add(it) }, { UpstreamLoad(0, 0) }, System::currentTimeMillis)
-        runner.run { attempt, sink -> client.run(attempt, null, sink) }
+    private suspend fun runAttempt(
+        port: Int,
+        body: ByteArray = ByteArray(0),
+    ) = UpstreamClient(HostPort("127.0.0.1", port)).let { client ->
+        val attempt = openAttempt(body = body)
+        val runner = AttemptRunner(attempt, { messages.add(it) }, { UpstreamLoad(0, 0) }, System::currentTimeMillis)
+        runner.run { sent, sink -> client.run(sent, null, sink) }
     }
 
     /** Sends [answer] to the only request, which it reads before, so that closing the connection doesn't reset it. */
@@ -145,6 +154,25 @@
         expectFailure()
     }
 
+    // Guards against a part of an answer that looks complete because its upstream has ended by itself.
+    @Test
+    fun `an answer without a length has failed if its upstream ends without having read the request`() {
+        repeat(EARLY_ANSWERS) {
+            ServerSocket(0).use { server ->
+                CompletableFuture.runAsync {
+                    server.accept().use { socket ->
+                        answerOn(socket, "$HEAD\r\nno")
+                        val input = socket.getInputStream()
+                        while (input.available() > 0) input.skipNBytes(input.available().toLong())
+                    }
+                }
+                runBlocking { runAttempt(server.localPort, ByteArray(UPLOAD_BYTES)) }
+            }
+        }
+        expectThat(messages.filterIsInstance<AnswerEnd>()).isEmpty()
+        expectThat(messages.filterIsInstance<AnswerFailed>()).hasSize(EARLY_ANSWERS)
+    }
+
     // Guards against an upstream that goes on working for a caller that has left.
     @ParameterizedTest
     @ValueSource(strings = ["", "${CHUNKED}4\r\ndone\r\n"])
