--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
@@ -278,6 +278,7 @@
     }
 
     private fun becomeIdle() {
+        upload = null
         reused = true
         idleSinceMillis = owner.nowMillis()
         owner.becameIdle(this)
