gateway: hold the last byte long enough for busy upstreams

An upstream that answers without reading its request may take more than 5 ms to begin, and more than 20 ms from there to its end, on a busy machine; it would get the last byte before it ends. The last byte of uploads of more than 64 KiB is held for 20 ms and two round trips, and for up to 100 ms once an early success without a length has begun. When that ends, the byte is sent at once.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
@@ -35,13 +35,16 @@
  */
 private const val ONE_SEGMENT_BODY_BYTES = 1_000
 
-/** Time in addition to two round trips within which a reset follows the end of the upstream's output. */
-private const val RESET_MARGIN_MILLIS = 20L
-
-/** Time in addition to two round trips within which an upstream that does not read its request has begun to answer. */
-private const val EARLY_RESPONSE_MARGIN_MILLIS = 5L
+/**
+ * Time in addition to two round trips within which a reset follows the end of the upstream's output, and an upstream
+ * that does not read its request has begun to answer.
+ */
+private const val EARLY_END_MARGIN_MILLIS = 20L
 private const val RESET_CHECK_INTERVAL_MILLIS = 5L
 
+/** Time for which a success that has begun early may take to end before the upstream gets the rest of the request. */
+private const val MAX_HOLD_MILLIS = 100L
+
 /** Number of requests without a success that a connection remembers; a repeated response follows within a few. */
 private const val MAX_UNSUCCESSFUL_REQUESTS = 16
 
@@ -66,7 +69,7 @@
 
     /** Time that it took to open the connection. */
     var roundTripMillis = 0L
-    private val resetDelayMillis get() = RESET_MARGIN_MILLIS + 2 * roundTripMillis
+    private val earlyEndMillis get() = EARLY_END_MARGIN_MILLIS + 2 * roundTripMillis
     val decoder = UpstreamResponseDecoder(::receiveSurplus, ::reject)
     var idleSinceMillis = 0L
         private set
@@ -125,8 +128,8 @@
 
     /** Returns whether a response that has begun early may end yet, or one that begins early may be on its way. */
     private fun shouldHoldLastByte(heldMillis: Long): Boolean {
-        val head = response ?: return heldMillis < EARLY_RESPONSE_MARGIN_MILLIS + 2 * roundTripMillis
-        return mayBeTruncated(head) && heldMillis < resetDelayMillis
+        val head = response ?: return heldMillis < earlyEndMillis
+        return !awaitingReset && mayBeTruncated(head) && heldMillis < MAX_HOLD_MILLIS
     }
 
     private fun requestWritten(succeeded: Boolean) {
@@ -145,7 +148,7 @@
     private fun awaitReset() {
         // What fits into the buffers of its receiver has arrived there since it was written.
         val startedAtMillis = if (upload?.isLong == false) writtenAtMillis else owner.nowMillis()
-        completeUnlessReset(startedAtMillis + resetDelayMillis)
+        completeUnlessReset(startedAtMillis + earlyEndMillis)
     }
 
     private fun completeUnlessReset(untilMillis: Long) {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/EarlyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/EarlyResponseTest.kt
@@ -26,10 +26,11 @@
 private const val UNFRAMED = "x-attempt: id1\nx-seal: s\n\n"
 
 // The slow clock gives a busy machine more time between the end of an upstream's output and the reset.
-internal class EarlyResponseTest : GatewayFixture(clockDivisor = 100) {
+internal class EarlyResponseTest : GatewayFixture(clockDivisor = 25) {
     /**
      * Ways in which an upstream resets its connection after a part of a body without a length. A socket that is closed
-     * without the option to reset it ends its output first, and is reset by the bytes that it has not read.
+     * without the option to reset it, as it is when its process ends, ends its output first, and is reset by the bytes
+     * that it has not read.
      */
     enum class Reset(
         val waitsForReader: Boolean = false,
@@ -84,6 +85,7 @@
     /** Waits until the gateway has read what was sent before: it has, once it has answered requests that came later. */
     private fun awaitReader() = repeat(2) { exchange(request("/nothing/x")) }
 
+    /** Guards against a part of a body that looks complete because its upstream's process has ended. */
     @ParameterizedTest
     @MethodSource("resets")
     fun `a part of a body without a length is not complete because its connection was reset`(case: Case) {
