gateway: one name for the time of an upstream's reaction, and reasons for sizes

The time within which a reset follows the end of an answer, and within which an early answer begins, is one: the time in which an upstream reacts to a byte. The sizes of bodies say what they are derived from. No behaviour is changed.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestUpload.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestUpload.kt
@@ -14,7 +14,10 @@
 import io.netty.handler.codec.http.LastHttpContent
 import java.util.concurrent.TimeUnit
 
-/** Size of a body up to which it fits into the buffers of its receiver, whether or not they are read. */
+/**
+ * Size of a body up to which it fits into the buffers of its receiver, whether or not they are read: the window of a
+ * connection without scaling.
+ */
 private const val MAX_BUFFERED_BODY_BYTES = 64 * 1024
 
 private const val HOLD_CHECK_INTERVAL_MILLIS = 5L
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamConnection.kt
@@ -30,19 +30,17 @@
 private const val MAX_SKIPPED_BYTES = 64 * 1024
 
 /**
- * Size of a body up to which it arrives in one segment with its head. An upstream that ends such a connection without
- * having read the request resets it at once, so that no reset can follow the end of its output.
+ * Size of a body up to which it arrives in one segment with its head, whose payload is at most 1,460 bytes on most
+ * links. An upstream that ends such a connection without having read the request resets it at once, so that no reset
+ * can follow the end of its output.
  */
 private const val ONE_SEGMENT_BODY_BYTES = 1_000
 
-/**
- * Time in addition to two round trips within which a reset follows the end of the upstream's output, and an upstream
- * that does not read its request has begun to answer.
- */
-private const val EARLY_END_MARGIN_MILLIS = 20L
+/** Time in addition to two round trips within which an upstream has reacted to a byte, by an answer or by a reset. */
+private const val REACTION_MARGIN_MILLIS = 20L
 private const val RESET_CHECK_INTERVAL_MILLIS = 5L
 
-/** Time for which a success that has begun early may take to end before the upstream gets the rest of the request. */
+/** Limit on the time for which an upstream whose success has begun is kept waiting for the end of its request. */
 private const val MAX_HOLD_MILLIS = 100L
 
 /** Number of requests without a success that a connection remembers; a repeated response follows within a few. */
@@ -69,7 +67,7 @@
 
     /** Time that it took to open the connection. */
     var roundTripMillis = 0L
-    private val earlyEndMillis get() = EARLY_END_MARGIN_MILLIS + 2 * roundTripMillis
+    private val reactionMillis get() = REACTION_MARGIN_MILLIS + 2 * roundTripMillis
     val decoder = UpstreamResponseDecoder(::receiveSurplus, ::reject)
     var idleSinceMillis = 0L
         private set
@@ -128,7 +126,7 @@
 
     /** Returns whether a response that has begun early may end yet, or one that begins early may be on its way. */
     private fun shouldHoldLastByte(heldMillis: Long): Boolean {
-        val head = response ?: return heldMillis < earlyEndMillis
+        val head = response ?: return heldMillis < reactionMillis
         return !awaitingReset && mayBeTruncated(head) && heldMillis < MAX_HOLD_MILLIS
     }
 
@@ -148,7 +146,7 @@
     private fun awaitReset() {
         // What fits into the buffers of its receiver has arrived there since it was written.
         val startedAtMillis = if (upload?.isLong == false) writtenAtMillis else owner.nowMillis()
-        completeUnlessReset(startedAtMillis + earlyEndMillis)
+        completeUnlessReset(startedAtMillis + reactionMillis)
     }
 
     private fun completeUnlessReset(untilMillis: Long) {
