gateway: test that doubtful answers are replaced in time-critical pools too

ReplacedAnswerTest had resumable routes in a pool that is not time-critical only, where other rules decide whether an answer is replaced.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -139,6 +139,7 @@
                 route("draft", streaming = true),
                 route("oneoff", streaming = true, idempotent = false),
                 route("prompt", streaming = true, targetMillis = 400),
+                route("brief", streaming = true, models = models),
                 route("note", streaming = true, models = models, pool = "stock"),
                 route("memo", streaming = true, idempotent = false, models = models, pool = "stock"),
                 route("single", streaming = true, models = models, maxAttempts = 1, pool = "stock"),
@@ -162,7 +163,7 @@
         maxConnections = 10,
         coldStartMillis = 0,
         coldRequestsPerSecond = 0.0,
-        engine = EngineTraits(8, 1_000, if (name == "llm") emptyList() else modelPrices),
+        engine = EngineTraits(8, 1_000, modelPrices),
     )
 
     protected fun onLoop(action: () -> Unit) {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ReplacedAnswerTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ReplacedAnswerTest.kt
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.EnumSource
+import org.junit.jupiter.params.provider.MethodSource
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
@@ -112,18 +113,21 @@
 
     /** Guards against a mend of the failure above that keeps answers which may be replaced. */
     @ParameterizedTest
-    @EnumSource
-    fun `a doubtful answer is replaced by one of the largest model if its request may run again`(doubtful: Doubtful) {
+    @MethodSource("repeatable")
+    fun `a doubtful answer is replaced by one of the largest model if its request may run again`(
+        route: String,
+        doubtful: Doubtful,
+    ) {
         serveAll(doubtful)
         beforeAnswer = { advance(doubtful.lateMillis) }
-        val received = call("/note/x")
+        val received = call("/$route/x")
         expectThat(modelsAsked().sorted()).isEqualTo(listOf("large", "small"))
         expectAnswer(received, "large")
     }
 
     /** Guards against the smallest model's poor answers where the first answer stays. */
     @ParameterizedTest
-    @CsvSource("note,small", "memo,large", "single,large", "quote,large", "order,large")
+    @CsvSource("brief,small", "note,small", "memo,large", "single,large", "quote,large", "order,large")
     fun `the largest model answers at once if its answer cannot be replaced`(
         route: String,
         model: String,
@@ -133,4 +137,10 @@
         expectThat(modelsAsked()).contains(model)
         expectThat("small" in modelsAsked()).isEqualTo(model == "small")
     }
+
+    companion object {
+        /** Forms of answers on a route of each kind of pool; that of "brief" is time-critical. */
+        @JvmStatic
+        fun repeatable() = listOf("note", "brief").flatMap { route -> Doubtful.entries.map { arrayOf<Any>(route, it) } }
+    }
 }
