gateway: decide where arrivals are counted whether a request runs again

RequestArrivals decides now for each arrival after the first, and holds what the rule needs: whether an upstream may have executed the request. What is sent again is unchanged: a request that was not sent has its permit back and may go on.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -1,7 +1,6 @@
 /*
- * One request from its arrival to the last byte of its response. An exchange tracks whether an upstream may have
- * executed the request. This determines which status the caller may receive, and whether another attempt requires a
- * retryable route and a retry from the budget.
+ * One request from its arrival to the last byte of its response: its attempts, and what its caller receives. Whether
+ * there may be another attempt is decided in RequestArrivals.kt.
  */
 package io.carawaytrack.gateway
 
@@ -38,7 +37,8 @@
         private set
 
     /** Arrivals of the request at upstreams. */
-    val arrivals = RequestArrivals(request.route.maxAttempts) { context.tryRetry(this, it) }
+    val arrivals =
+        RequestArrivals(request.route, { relay.canResume && watch.allowsRetry }) { context.tryRetry(this, it) }
 
     /** Total number of attempts. */
     var attempts = 0
@@ -73,7 +73,6 @@
     private var response: HttpResponse? = null
     val watch = AnswerWatch(request, context.crashes) { context.meters.requestStarted(request.organisation?.name) }
     private var callerDisconnected = false
-    private var mayHaveRun = false
 
     /** Number of complete events sent to the caller. */
     val events: Int get() = relay.events
@@ -82,10 +81,7 @@
     val hasResponseHead: Boolean get() = response != null
 
     /** Whether it is certain that no upstream has executed the request or will execute it. */
-    val hasNotRun: Boolean get() = !mayHaveRun
-
-    /** Whether the request may run once more although an upstream may have executed it. */
-    private val mayRunAgain: Boolean get() = route.retryable && relay.canResume && watch.allowsRetry
+    val hasNotRun: Boolean get() = !arrivals.mayHaveRun
 
     private val execution get() = if (hasNotRun) Execution.NotRun else Execution.MayHaveRun
 
@@ -124,7 +120,7 @@
             phase == ExchangePhase.Ended -> return
             now >= request.deadlineAtMillis ->
                 abandonWith { timedOut(execution, request.deadlineAtMillis - request.arrivedAtMillis) }
-            phase == ExchangePhase.Sent && mayRunAgain ->
+            phase == ExchangePhase.Sent && arrivals.mayRunAgain ->
                 context.unresponsive.abandonReason(this)?.let(::abandonUpstream)
         }
     }
@@ -155,8 +151,8 @@
         if (!response.isSuccess()) return
         val confidence = response.headers()[context.headerNames.confidence]?.toIntOrNull()
         context.responseStarted(this, confidence)
-        if (!route.answersReplaceable || relay.started || !mayRunAgain) return
-        context.replacementModel(this, confidence)?.let { replaceAnswer(it) }
+        if (!route.answersReplaceable || relay.started || !arrivals.mayRunAgain) return
+        context.replacementModel(this, confidence)?.let(::replaceAnswer)
     }
 
     /** Replaces a response of which the caller has received nothing by one of a larger model. */
@@ -209,7 +205,7 @@
         recordOutcome(good = !head.isFailure())
         watch.responseReceived { true }
         if (head.isSuccess()) watch.answerCompleted()
-        mayHaveRun = true
+        arrivals.attemptEnded(ran = true)
         detachAttempt()
         end(head.status().code(), failure = null)
         if (callerDisconnected) relay.discardUnsent() else relay.finish(head)
@@ -232,11 +228,7 @@
         val upstream = target ?: return
         val fields = mapOf("status" to head.status().code(), "refusal" to refusal.name)
         context.logExchange(this, "upstream_refused", fields)
-        when (refusal) {
-            UpstreamRefusal.AnotherUpstream -> upstream.departed = true
-            UpstreamRefusal.Full -> upstream.markFull()
-            UpstreamRefusal.Rejected -> excluded += upstream.upstream.id
-        }
+        if (refusal == UpstreamRefusal.Rejected) excluded += upstream.upstream.id else upstream.recordRefusal(refusal)
         releaseAttempt(cancel = false, ran = false)
         when {
             callerDisconnected -> abandon()
@@ -271,7 +263,9 @@
             when {
                 phase == ExchangePhase.Ended -> Unit
                 callerDisconnected -> abandon()
-                neverSent || tryRetry(RetryReason.Failure) -> waitForUpstream()
+                // A request that has not been sent may wait for another upstream until its deadline.
+                neverSent && arrivals.tryNext(RetryReason.Failure) -> waitForUpstream()
+                tryRetry(RetryReason.Failure) -> waitForUpstream()
                 else -> fail(brokenOff(execution, end))
             }
         }
@@ -290,7 +284,7 @@
         cancel: Boolean,
         ran: Boolean = true,
     ) {
-        if (attempt != null && ran) mayHaveRun = true
+        arrivals.attemptEnded(ran)
         if (cancel) attempt?.cancel()
         detachAttempt()
         relay.discardUnsent()
@@ -304,14 +298,10 @@
         target = null
     }
 
-    /**
-     * Takes a permit for another arrival, whatever the [reason], if the request may be sent again: no upstream can have
-     * executed it, or it may run again.
-     */
+    /** Takes a permit for another arrival if its response can be of use and the request may be sent again. */
     private fun tryRetry(reason: RetryReason): Boolean {
         val inTime = request.deadlineAtMillis - context.nowMillis() >= MIN_REMAINING_MILLIS
-        val allowed = (attempt == null && hasNotRun) || mayRunAgain
-        return allowed && inTime && !callerDisconnected && arrivals.tryNext(reason)
+        return inTime && !callerDisconnected && arrivals.tryNext(reason)
     }
 
     private fun waitForUpstream() {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
@@ -240,7 +240,9 @@
         pauseMillis = minOf(MAX_PAUSE_MILLIS, pauseMillis * 2)
     }
 
-    fun markFull() {
-        fullUntilMillis = nowMillis() + FULL_PAUSE_MILLIS
+    /** Records that the upstream has refused a request for a reason that concerns other requests as well. */
+    fun recordRefusal(refusal: UpstreamRefusal) {
+        if (refusal == UpstreamRefusal.AnotherUpstream) departed = true
+        if (refusal == UpstreamRefusal.Full) fullUntilMillis = nowMillis() + FULL_PAUSE_MILLIS
     }
 }
