standins: a crashed engine has no load

Cause: a crash only asked its requests to stop. They counted until their coroutines ended, which may be after the request that caused the crash is refused; so a cold start could also crash again at its first request. Change: a restart ends its requests itself; a token that is still generated for one of them is not subtracted again. Measured: EngineTest, 2 of 3 failed before; the third fails when the tokens are subtracted regardless. Of 400 repetitions of the unchanged EngineStandInTest none failed with the change.

--- a/standins/src/main/kotlin/io/carawaytrack/standins/Engine.kt
+++ b/standins/src/main/kotlin/io/carawaytrack/standins/Engine.kt
@@ -196,7 +196,6 @@
         val exceedsMemory = settings.memoryTokens > 0 && tokenCount > settings.memoryTokens
         if (requestCount <= coldStart.capacity() && !exceedsMemory) return Ok(request)
         restart(settings.restartMillis)
-        finish(request, StopReason.Crashed)
         return Err(EngineRefusal.Overloaded)
     }
 
@@ -205,7 +204,8 @@
         cache.clear()
         resumable.clear()
         counters.countRestart()
-        active.forEach { it.stop.complete(StopReason.Crashed) }
+        // their coroutines end later, but a restarted engine has no load
+        active.filter { it.stop.complete(StopReason.Crashed) }.forEach { finish(it, StopReason.Crashed) }
     }
 
     private suspend fun generate(
@@ -223,8 +223,8 @@
             if (index >= answer.produced) pacer.awaitNext(tokenMillis(answer.version))
             emit(answer.tokens[index])
             answer.produced = maxOf(answer.produced, index + 1)
-            request.remainingTokens.decrementAndGet()
-            queuedTokens.decrementAndGet()
+            val wasQueued = request.remainingTokens.getAndUpdate { maxOf(0, it - 1) } > 0
+            if (wasQueued) queuedTokens.decrementAndGet()
         }
         return StopReason.Completed
     }
