agent: show the end of an upstream that has not read a long upload

Change: the last two bytes of bodies of more than 64 KiB are sent 20 ms and 40 ms after the others. An upstream that has ended resets the connection at the first one, so that the second one fails, and with it the attempt. Measured: InvalidAnswerTest now has three sizes, and its upstream never reads the last two bytes, as one that happens to read all of a request cannot be told from a sound one.

--- a/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
+++ b/agent/src/main/kotlin/io/carawaytrack/agent/UpstreamClient.kt
@@ -1,6 +1,6 @@
 /*
  * Sends attempts to the upstream over HTTP and relays the answers in chunks. The JDK's client rejects answers that are
- * not valid or not whole, except for some heads, which are checked here.
+ * not valid or not whole, except for some heads, which are checked here, and for early answers, see RequestBody.kt.
  */
 package io.carawaytrack.agent
 
@@ -17,7 +17,6 @@
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
-import java.net.http.HttpRequest.BodyPublishers
 import java.net.http.HttpResponse
 import java.net.http.HttpResponse.BodyHandlers
 import java.nio.ByteBuffer
@@ -89,9 +88,7 @@
         traceparent: String?,
     ): HttpRequest {
         val request = HttpRequest.newBuilder(URI.create("http://$upstream${escapedPath(attempt.path)}"))
-        val body = attempt.body
-        val publisher = if (body.isEmpty()) BodyPublishers.noBody() else BodyPublishers.ofByteArray(body)
-        request.method(attempt.method, publisher)
+        request.method(attempt.method, requestBody(attempt.body))
         attempt.headers.filter(::isForwarded).forEach { request.header(it.name, it.value) }
         request.header(REQUEST_ID_HEADER, attempt.request.value)
         traceparent?.let { request.header("traceparent", it) }
--- a/agent/src/test/kotlin/io/carawaytrack/agent/InvalidAnswerTest.kt
+++ b/agent/src/test/kotlin/io/carawaytrack/agent/InvalidAnswerTest.kt
@@ -17,11 +17,11 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
-import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.contentEquals
 import strikt.assertions.hasSize
 import strikt.assertions.isA
 import strikt.assertions.isEmpty
@@ -35,12 +35,13 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 
 private const val TIMEOUT_SECONDS = 20L
 private const val EARLY_ANSWERS = 12
 
-/** Size of an upload that its upstream may have read in part or as a whole when it ends. */
-private const val UPLOAD_BYTES = 200_000
+/** End of a request that its upstream does not read even if all of it has arrived on a busy machine. */
+private const val UNREAD_BYTES = 2
 private const val HEAD = "HTTP/1.1 200 OK\r\n"
 private const val CHUNKED = "${HEAD}Transfer-Encoding: chunked\r\n\r\n"
 
@@ -155,24 +156,54 @@
     }
 
     // Guards against a part of an answer that looks complete because its upstream has ended by itself.
-    @Test
-    fun `an answer without a length has failed if its upstream ends without having read the request`() {
+    @ParameterizedTest
+    @ValueSource(ints = [100_000, 200_000, 1_000_000])
+    fun `an answer without a length has failed if its upstream ends without having read the request`(bodyBytes: Int) {
         repeat(EARLY_ANSWERS) {
             ServerSocket(0).use { server ->
                 CompletableFuture.runAsync {
                     server.accept().use { socket ->
                         answerOn(socket, "$HEAD\r\nno")
-                        val input = socket.getInputStream()
-                        while (input.available() > 0) input.skipNBytes(input.available().toLong())
+                        readMost(socket, bodyBytes)
                     }
                 }
-                runBlocking { runAttempt(server.localPort, ByteArray(UPLOAD_BYTES)) }
+                runBlocking { runAttempt(server.localPort, ByteArray(bodyBytes)) }
             }
         }
         expectThat(messages.filterIsInstance<AnswerEnd>()).isEmpty()
         expectThat(messages.filterIsInstance<AnswerFailed>()).hasSize(EARLY_ANSWERS)
     }
 
+    /** Reads what has arrived of a body of [bodyBytes] until nothing has, but never its end. */
+    private fun readMost(
+        socket: Socket,
+        bodyBytes: Int,
+    ) {
+        val input = socket.getInputStream()
+        var left = bodyBytes - UNREAD_BYTES
+        while (left > 0 && input.available() > 0) left -= input.readNBytes(minOf(left, input.available())).size
+    }
+
+    // Guards against a body that does not arrive as a whole, and an early answer that is lost, as its end is sent late.
+    @ParameterizedTest
+    @ValueSource(ints = [1, 65_536, 65_537, 65_538, 200_000])
+    fun `an early answer without a length is passed on if its upstream reads the request`(bodyBytes: Int) {
+        val body = Random(bodyBytes).nextBytes(bodyBytes)
+        ServerSocket(0).use { server ->
+            val received =
+                CompletableFuture.supplyAsync {
+                    server.accept().use { socket ->
+                        answerOn(socket, "$HEAD\r\ndone")
+                        socket.getInputStream().readNBytes(bodyBytes)
+                    }
+                }
+            runBlocking { runAttempt(server.localPort, body) }
+            expectThat(received.get(TIMEOUT_SECONDS, TimeUnit.SECONDS)).contentEquals(body)
+        }
+        expectThat(body()).isEqualTo("done")
+        expectThat(messages).last().isA<AnswerEnd>()
+    }
+
     // Guards against an upstream that goes on working for a caller that has left.
     @ParameterizedTest
     @ValueSource(strings = ["", "${CHUNKED}4\r\ndone\r\n"])
