Let the review's scripts end with 2 on any failure of their own

Cause: an exception that is not an IOException ended the driver of a case with exit code 1, which stands for a broken rule.

--- a/review/harness-3/LeavingClients.java
+++ b/review/harness-3/LeavingClients.java
@@ -65,7 +65,7 @@
         int result;
         try (Fleet fleet = new Fleet(Path.of(arguments[0]))) {
             result = play(fleet);
-        } catch (IOException failure) {
+        } catch (IOException | RuntimeException failure) {
             System.out.println("the case could not run: " + failure);
             result = Fleet.COULD_NOT_RUN;
         }
