Identify requests that crash upstreams by their content, not their parts

Callers saw: a message of a session that crashes each upstream was never refused; it took two upstreams at each arrival, with all that they ran.

Cause: the quarantine identified a request with a prompt by the parts that its header names. All messages of a session name the same parts, so each sound message cleared the deadly one. A crash was also forgotten after two minutes, or after 64 crashes under other requests.

Changed: every request has a content, a hash of caller, method, path and body. The request that was there at most crashes explains them, so that those that ran beside it are served. Nothing is hashed until an upstream has crashed.

--- a/fleet/src/main/kotlin/io/carawaytrack/fleet/CrashReport.kt
+++ b/fleet/src/main/kotlin/io/carawaytrack/fleet/CrashReport.kt
@@ -1,6 +1,6 @@
 /*
- * What a host tells the others about crashes of upstreams, so that all hosts together find the prompt part that causes
- * them.
+ * What a host tells the others about crashes of upstreams, so that all hosts together find the request or the prompt
+ * part that causes them.
  */
 package io.carawaytrack.fleet
 
@@ -27,10 +27,10 @@
     route: String,
 ): String = "$CALLER_PREFIX$organisation/$route"
 
-/** Returns the entry that stands for the content of a request without a prompt. */
+/** Returns the entry that stands for the content of a request: its caller, method, path and body. */
 public fun contentPart(hash: String): String = CONTENT_PREFIX + hash
 
-/** Returns whether [part] stands for the content of a request without a prompt. */
+/** Returns whether [part] stands for the content of a request. */
 public fun isContent(part: String): Boolean = part.startsWith(CONTENT_PREFIX)
 
 /** Returns whether [part] tells where a request comes from and isn't a part of its prompt. */
@@ -48,6 +48,7 @@
  * @property startedAtMillis start of the upstream, which distinguishes two crashes under one identifier
  * @property ageMillis time since the crash
  * @property prompts prompts that the upstream may have begun to answer when it crashed
+ * @property requests all requests that were in progress when it crashed
  */
 @Serializable
 public data class UpstreamCrash(
@@ -55,9 +56,22 @@
     val startedAtMillis: Long,
     val ageMillis: Long,
     val prompts: List<PromptParts>,
+    val requests: List<CrashedRequest> = emptyList(),
 )
 
-/** States that an upstream was answering a prompt with [part] without a crash, [ageMillis] ago. */
+/**
+ * Identifies a request that was in progress at a crash.
+ *
+ * @property content entry of [contentPart]
+ * @property answering whether its answer had gone on for some time
+ */
+@Serializable
+public data class CrashedRequest(
+    val content: String,
+    val answering: Boolean = false,
+)
+
+/** States that an upstream was answering a request with [part] without a crash, [ageMillis] ago. */
 @Serializable
 public data class SoundPart(
     val part: String,
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
@@ -1,14 +1,14 @@
 /*
- * Watches the answers to one request for signs that its prompt crashes upstreams, for the pace of their events, and for
- * the first sign that the request runs. A harmful prompt takes its upstream down at the beginning of the answer, so an
- * answer that goes on clears the prompt.
+ * Watches the answers to one request for signs that it crashes upstreams, for the pace of their events, and for the
+ * first sign that the request runs. A harmful prompt part takes its upstream down at the beginning of the answer, so
+ * an answer that goes on clears the prompt's parts. Only a complete answer clears the request itself.
  */
 package io.carawaytrack.gateway
 
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.routing.load.PlacedWork
 
-/** Time since the first event of an answer after which its prompt is not the cause of a later crash. */
+/** Time since the first event of an answer after which its prompt's parts are not the cause of a later crash. */
 private const val SOUND_AFTER_MILLIS = 500L
 
 /** Minimum time between two records of the same answer's progress. */
@@ -55,7 +55,7 @@
         sound = now - firstAtMillis >= SOUND_AFTER_MILLIS
         if (!sound || now - recordedAtMillis < PROGRESS_RECORD_INTERVAL_MILLIS) return
         recordedAtMillis = now
-        crashes.recordSound(request.prompt)
+        crashes.recordProgress(request)
     }
 
     /** Reports the start of the request once, as soon as [showsStart] returns true for any of its attempts. */
@@ -65,16 +65,16 @@
         requestStarted()
     }
 
-    fun answerCompleted() = crashes.recordAnswered(request.prompt)
+    fun answerCompleted() = crashes.recordAnswered(request)
 
     /** Handles a broken attempt on [upstream]; calls [done] once it is known whether the upstream has crashed. */
     fun attemptBroken(
         upstream: FleetUpstream,
         done: () -> Unit,
     ) {
-        if (sound) crashes.recordSound(request.prompt)
+        if (sound) crashes.recordProgress(request)
         if (sound) return done()
-        crashes.check(upstream, request) { crashed ->
+        crashes.check(upstream, request, answering = false) { crashed ->
             if (crashed) crashCount++
             done()
         }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -3,14 +3,11 @@
  */
 package io.carawaytrack.gateway
 
-import com.dynatrace.hash4j.hashing.Hashing
 import io.carawaytrack.fleet.CatalogOrganisation
 import io.carawaytrack.fleet.CatalogRoute
 import io.carawaytrack.fleet.FleetUpstream
-import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.fleet.RouteMatch
 import io.carawaytrack.fleet.callerPart
-import io.carawaytrack.fleet.contentPart
 import io.carawaytrack.fleet.routePart
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -64,20 +61,22 @@
     /** Urgency among the requests of the host, 0 is the most urgent. */
     val rank: Int = rankOf(organisation?.priority, route.priority, ranksByRoute)
 
-    /** Route and caller, then the prompt's parts; a request without a prompt counts as one part, its content. */
-    val prompt: PromptParts by lazy(LazyThreadSafetyMode.NONE) {
-        listOfNotNull(routePart(route.name), organisation?.let { callerPart(it.name.value, route.name) }) +
-            demand.parts.map { it.id }.ifEmpty { listOf(content()) }
+    val fingerprint: RequestFingerprint by lazy(LazyThreadSafetyMode.NONE) {
+        RequestFingerprint(
+            listOfNotNull(routePart(route.name), organisation?.let { callerPart(it.name.value, route.name) }),
+            demand.parts.map { it.id },
+            ::content,
+        )
     }
 
     /** Whether the gateway selects the model. */
     val gatewayChoosesModel: Boolean get() = route.models.isNotEmpty()
 
     private fun content(): String {
-        val hash = Hashing.komihash5_0().hashStream()
-        hash.putString("${organisation?.name?.value} ${head.method()} ${head.uri()}")
-        body.forEachByte { hash.putByte(it).let { true } }
-        return contentPart(hash.asLong.toULong().toString(radix = 36))
+        val line = "${organisation?.name?.value} ${head.method()} ${head.uri()}"
+        // Without a body only the parts tell one prompt from another.
+        val parts = if (body.isReadable) "" else demand.parts.joinToString(separator = "") { " ${it.id}" }
+        return contentOf(line + parts, body)
     }
 
     /** Returns the identifier of the last event that the caller has received, if it resumes a stream. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
@@ -1,6 +1,7 @@
 /*
- * Inference of what makes upstreams crash from the requests that were in progress at each crash. Parts of prompts that
- * come back in enough crashes are found first. If crashes remain on a route that they don't explain, each of its
+ * Inference of what makes upstreams crash from the requests that were in progress at each crash. Requests and parts of
+ * prompts that come back in enough crashes are found first, those that explain most crashes before others: what was
+ * merely there each time explains none of its own. If crashes remain on a route that they don't explain, each of its
  * requests may be harmful by itself; then one crash is enough to suspect a request. A caller whose requests were in
  * progress at a series of such crashes may send more of them, each with another content. This is inferred only for
  * requests without a prompt: those with one have parts to be found, and an engine has many of them in progress.
@@ -11,9 +12,16 @@
 
 import io.carawaytrack.fleet.isContent
 
-/** Number of crashes at different times that are taken for a series with a common cause. */
+/** Number of crashes that are taken for a series with a common cause. */
 internal const val CRASHES_IN_SERIES = 3
 
+/** Minimum number of different times in a series under one request: another one may have been there once. */
+private const val MIN_REQUEST_MOMENTS = 2
+
+/** Time after its last crash for which a request or part is refused that explains a series of crashes. */
+private const val REQUEST_PAUSE_MILLIS = 600_000L
+internal const val PART_PAUSE_MILLIS = 120_000L
+
 /** Crashes closer to each other than this count as one: a cause outside the requests takes several upstreams. */
 private const val SAME_MOMENT_MILLIS = 50L
 
@@ -34,12 +42,13 @@
 )
 
 /**
- * A set of parts that explains crashes, the last of which was at [lastCrashMillis]; a request that contains all [parts]
- * is harmful.
+ * A set of parts that explains crashes; a request that contains all [parts] is harmful. It is refused until
+ * [pauseMillis] after the last crash.
  */
 internal data class CrashCause(
     val parts: Set<String>,
     val lastCrashMillis: Long,
+    val pauseMillis: Long = PART_PAUSE_MILLIS,
 )
 
 /**
@@ -57,33 +66,79 @@
 internal data class CrashCauses(
     val requests: List<CrashCause>,
     val callers: List<CrashingCaller>,
-)
+) {
+    val isEmpty: Boolean get() = requests.isEmpty() && callers.isEmpty()
+}
 
-/** Returns what explains the crashes at which [suspects] were in progress. */
-internal fun findCrashCauses(suspects: List<CrashSuspect>): CrashCauses {
+/** Returns what explains the crashes at which [suspects] and [repeated] requests were in progress. */
+internal fun findCrashCauses(
+    suspects: List<CrashSuspect>,
+    repeated: List<CrashedRequestHistory>,
+): CrashCauses {
     val explained = HashSet<Any>()
-    val recurring = findRecurringParts(suspects, explained)
+    val recurring = findRecurring(repeated.map(::candidateOf) + partCandidates(suspects), explained)
     val withoutPrompt = suspects.filter { it.parts.all(::isContent) }
     val callers = findCallers(withoutPrompt, recurring, explained)
     return CrashCauses(recurring + findSingleRequests(withoutPrompt, recurring, explained), callers)
 }
 
-/** Returns the parts that come back in the crashes of a series, those that explain most crashes first. */
-private fun findRecurringParts(
-    suspects: List<CrashSuspect>,
-    explained: MutableSet<Any>,
-): List<CrashCause> {
+/**
+ * A request or prompt part that may be the cause of [crashes], given as their identities and times.
+ *
+ * @property answering number of crashes before which an answer had gone on for some time
+ */
+private class CandidateCause(
+    val cause: CrashCause,
+    val crashes: List<Pair<Any, Long>>,
+    val isRequest: Boolean,
+    val answering: Int = 0,
+) {
+    val moments = countMoments(crashes.map { it.second })
+
+    fun isSeries(crashes: List<Pair<Any, Long>>): Boolean {
+        val minMoments = if (isRequest) MIN_REQUEST_MOMENTS else CRASHES_IN_SERIES
+        return crashes.size >= CRASHES_IN_SERIES && countMoments(crashes.map { it.second }) >= minMoments
+    }
+}
+
+/** Of two candidates for the same crashes, the request itself is more specific than a part that it shares. */
+private val mostLikelyFirst =
+    compareByDescending<CandidateCause> { it.moments }.thenByDescending { it.isRequest }.thenBy { it.answering }
+
+private fun candidateOf(request: CrashedRequestHistory): CandidateCause {
+    val lastCrashMillis = request.crashes.maxOf { it.atMillis }
+    return CandidateCause(
+        CrashCause(setOf(request.content), lastCrashMillis, REQUEST_PAUSE_MILLIS),
+        request.crashes.map { it.crash to it.atMillis },
+        isRequest = true,
+        answering = request.crashes.count { it.answering },
+    )
+}
+
+private fun partCandidates(suspects: List<CrashSuspect>): List<CandidateCause> {
     val suspectsOf = HashMap<String, MutableList<CrashSuspect>>()
-    suspects.forEach { suspect -> suspect.parts.forEach { suspectsOf.getOrPut(it, ::ArrayList) += suspect } }
-    val causes = ArrayList<CrashCause>()
-    suspectsOf.values.sortedByDescending(::countMoments).forEach { all ->
-        val unexplained = all.filter { it.crash !in explained }
-        if (countMoments(unexplained) < CRASHES_IN_SERIES) return@forEach
+    suspects.forEach { suspect ->
+        suspect.parts.filterNot(::isContent).forEach { suspectsOf.getOrPut(it, ::ArrayList) += suspect }
+    }
+    return suspectsOf.values.map { all ->
         val common = all.map { it.parts }.reduce { common, parts -> common intersect parts }
-        causes += CrashCause(common, lastCrashMillis(all))
-        unexplained.mapTo(explained) { it.crash }
+        CandidateCause(
+            CrashCause(common, lastCrashMillis(all)),
+            all.map { it.crash to it.crashedAtMillis },
+            isRequest = false,
+        )
     }
-    return causes
+}
+
+/** Returns the requests and parts that come back in a series of crashes, those that explain most crashes first. */
+private fun findRecurring(
+    candidates: List<CandidateCause>,
+    explained: MutableSet<Any>,
+): List<CrashCause> = candidates.sortedWith(mostLikelyFirst).mapNotNull { candidate ->
+    val unexplained = candidate.crashes.filter { it.first !in explained }
+    if (!candidate.isSeries(unexplained)) return@mapNotNull null
+    unexplained.mapTo(explained) { it.first }
+    candidate.cause
 }
 
 /** Returns the callers with requests in progress at a series of crashes that [recurring] causes don't explain. */
@@ -129,10 +184,14 @@
 
 private fun lastCrashMillis(suspects: List<CrashSuspect>) = suspects.maxOf { it.crashedAtMillis }
 
-private fun countMoments(suspects: List<CrashSuspect>): Int {
+private fun countMoments(suspects: List<CrashSuspect>): Int = countMoments(suspects.map { it.crashedAtMillis })
+
+/** Counts the different times among [crashesAtMillis]. */
+@JvmName("countMomentsOfTimes")
+private fun countMoments(crashesAtMillis: List<Long>): Int {
     var moments = 0
     var lastAtMillis: Long? = null
-    suspects.map { it.crashedAtMillis }.sorted().forEach { atMillis ->
+    crashesAtMillis.sorted().forEach { atMillis ->
         if (lastAtMillis.let { it == null || atMillis - it >= SAME_MOMENT_MILLIS }) moments++
         lastAtMillis = atMillis
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
@@ -5,7 +5,6 @@
 package io.carawaytrack.gateway
 
 import io.carawaytrack.fleet.FleetUpstream
-import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.model.HostPort
 
 /**
@@ -17,31 +16,39 @@
     private val quarantine: PromptQuarantine,
     private val crashRecorded: () -> Unit,
 ) {
+    private class BrokenAttempt(
+        val request: CallerRequest,
+        val answering: Boolean,
+    )
+
     private class Check {
-        val requests = ArrayList<CallerRequest>()
+        val attempts = ArrayList<BrokenAttempt>()
         val callbacks = ArrayList<(Boolean) -> Unit>()
     }
 
     private val checks = HashMap<HostPort, Check>()
 
-    /** Records that an upstream is answering [prompt] without a crash. */
-    fun recordSound(prompt: PromptParts) = quarantine.recordSound(prompt)
+    /** Records that an upstream is answering [request] without a crash so far. */
+    fun recordProgress(request: CallerRequest) = quarantine.recordProgress(request.fingerprint)
 
-    /** Records that an upstream has answered [prompt] completely. */
-    fun recordAnswered(prompt: PromptParts) = quarantine.recordAnswered(prompt)
+    /** Records that an upstream has answered [request] completely. */
+    fun recordAnswered(request: CallerRequest) = quarantine.recordAnswered(request.fingerprint)
 
     /**
-     * Checks [upstream] after an attempt that broke at the beginning of the answer to [request]; then calls [done] with
-     * whether the upstream has crashed.
+     * Checks [upstream] after an attempt of [request] that broke; then calls [done] with whether the upstream has
+     * crashed. [answering] states whether the answer had gone on for some time.
      */
     fun check(
         upstream: FleetUpstream,
         request: CallerRequest,
+        answering: Boolean,
         done: (Boolean) -> Unit,
     ) {
         val running = checks[upstream.address]
         val check = running ?: Check().also { checks[upstream.address] = it }
-        check.requests += request
+        // The body may be released before the check ends.
+        request.fingerprint.content
+        check.attempts += BrokenAttempt(request, answering)
         check.callbacks += done
         if (running == null) checkListening(upstream.address) { listening -> finish(upstream, listening) }
     }
@@ -52,18 +59,23 @@
     ) {
         val check = checks.remove(upstream.address) ?: return
         if (!listening) {
-            val suspects = check.requests.map(::fieldsOf)
-            logEvent("upstream_crashed", mapOf("upstream" to upstream.id.value, "requests" to suspects))
-            quarantine.recordCrash(upstream.id, upstream.startedAtMillis, check.requests.map { it.prompt })
+            val suspects = check.attempts.map { Suspect(it.request.fingerprint, it.answering) }
+            val requests = check.attempts.map { fieldsOf(it) }
+            logEvent("upstream_crashed", mapOf("upstream" to upstream.id.value, "requests" to requests))
+            quarantine.recordCrash(upstream.id, upstream.startedAtMillis, suspects)
             crashRecorded()
         }
         check.callbacks.forEach { it(!listening) }
     }
-}
 
-private fun fieldsOf(request: CallerRequest): Map<String, Any?> = mapOf(
-    "requestId" to request.id,
-    "route" to request.route.name,
-    "organisation" to request.organisation?.name?.value,
-    "prompt" to request.prompt,
-)
+    private fun fieldsOf(attempt: BrokenAttempt): Map<String, Any?> = with(attempt.request) {
+        mapOf(
+            "requestId" to id,
+            "route" to route.name,
+            "organisation" to organisation?.name?.value,
+            "prompt" to fingerprint.prompt,
+            "content" to fingerprint.content,
+            "answering" to attempt.answering,
+        )
+    }
+}
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -35,7 +35,7 @@
     private val queue = PoolQueues(meters, upstreams, headerNames.model, nowMillis)
     private val active = LinkedHashSet<Exchange>()
 
-    /** Prompt parts that crash upstreams. */
+    /** Requests and prompt parts that crash upstreams. */
     val quarantine = PromptQuarantine(nowMillis)
     override val crashes = CrashDetector(connections::checkListening, quarantine, crashRecorded)
 
@@ -135,7 +135,7 @@
     private fun tryPlace(exchange: Exchange): Boolean {
         val pool = exchange.pool ?: return false
         val request = exchange.request
-        val refusedForMillis = if (quarantine.isActive) quarantine.refusedForMillis(request.prompt) else null
+        val refusedForMillis = if (quarantine.isActive) quarantine.refusedForMillis(request.fingerprint) else null
         if (refusedForMillis != null) {
             exchange.fail(quarantined(exchange, refusedForMillis))
             return true
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
@@ -1,9 +1,11 @@
 /*
- * Quarantine of prompt parts that crash the upstreams that answer them; a request without a prompt counts as one part.
- * Each crash implicates the prompts that the upstream may have begun to answer. A part that an upstream has answered
- * around that time or since is cleared. Among the others, a part that was in the prompts of enough crashes is
- * quarantined: requests are refused if they contain it and all parts that always came with it, so that a request that
- * shares some of those parts can still clear them. On a route whose crashes have no part in common, each implicated
+ * Quarantine of requests and prompt parts that crash the upstreams that answer them. Each crash implicates the requests
+ * that were in progress, and the parts of the prompts that the upstream may have begun to answer; a request without a
+ * prompt counts as one part. A part that an upstream has answered around that time or since is cleared, and a request
+ * by a complete answer to itself only. Among the others, a request that was in progress at enough crashes is refused
+ * when it comes again, whatever its headers are. A part that was in the prompts of enough crashes is quarantined:
+ * requests are refused if they contain it and all parts that always came with it, so that a request that shares some of
+ * those parts can still clear them. On a route whose crashes have no request or part in common, each implicated
  * request is refused when it comes again. A caller whose requests were in progress at such crashes, and which got few
  * answers meanwhile, is refused on that route for a time that doubles with each crash, since what it sends next cannot
  * be told from what crashed upstreams.
@@ -13,19 +15,21 @@
 package io.carawaytrack.gateway
 
 import io.carawaytrack.fleet.CrashReport
+import io.carawaytrack.fleet.CrashedRequest
 import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.fleet.SoundPart
 import io.carawaytrack.fleet.UpstreamCrash
 import io.carawaytrack.fleet.callerOf
+import io.carawaytrack.fleet.isContent
 import io.carawaytrack.fleet.isOrigin
 import io.carawaytrack.fleet.routeOf
 import io.carawaytrack.model.UpstreamId
 
-/** Time before a crash within which an answer clears the parts of its prompt. */
-private const val CLEARED_BEFORE_MILLIS = 2_000L
+/** Time before a crash within which an answer clears its request and the parts of its prompt. */
+internal const val CLEARED_BEFORE_MILLIS = 2_000L
 
-/** Time after which a crash is forgotten, and the quarantine that is based on it ends. */
-private const val CRASH_EXPIRY_MILLIS = 120_000L
+/** Time after which a crash says nothing more about parts and callers. */
+private const val CRASH_EXPIRY_MILLIS = PART_PAUSE_MILLIS
 
 /** Time for which a caller is refused after the first crash that suffices: several restarts of an upstream. */
 internal const val MIN_CALLER_PAUSE_MILLIS = 10_000L
@@ -39,22 +43,33 @@
 private const val MAX_PAUSE_DOUBLINGS = 4
 private const val MAX_CRASHES = 64
 private const val MAX_PROMPTS_PER_CRASH = 64
+private const val MAX_REQUESTS_PER_CRASH = 256
 private const val MAX_SOUND_PARTS = 4_096
 
+/** Identifies a crash by the start of the upstream that it ended. */
+internal data class CrashId(
+    val upstream: UpstreamId,
+    val startedAtMillis: Long,
+)
+
+/** A request that was in progress at a crash; [answering] states whether its answer had gone on for some time. */
+internal data class Suspect(
+    val fingerprint: RequestFingerprint,
+    val answering: Boolean = false,
+)
+
 internal class PromptQuarantine(
     private val nowMillis: () -> Long,
 ) {
-    private data class CrashId(
-        val upstream: UpstreamId,
-        val startedAtMillis: Long,
-    )
-
     private class Crash(
         val atMillis: Long,
-        val prompts: LinkedHashSet<PromptParts>,
-    )
+    ) {
+        val prompts = LinkedHashSet<PromptParts>()
+        val requests = LinkedHashSet<CrashedRequest>()
+    }
 
     private val crashes = LinkedHashMap<CrashId, Crash>()
+    private val crashedRequests = CrashedRequests(nowMillis)
     private val soundAtMillis = BoundedMap<String, Long>(MAX_SOUND_PARTS)
     private val soundReportedAtMillis = BoundedMap<String, Long>(MAX_SOUND_PARTS)
     private val unreportedCrashes = LinkedHashSet<CrashId>()
@@ -65,20 +80,22 @@
     private var loggedCauses: Map<String, Any> = emptyMap()
 
     /** Whether any crash is known; otherwise nothing is refused. */
-    val isActive: Boolean get() = crashes.isNotEmpty()
+    val isActive: Boolean get() = crashes.isNotEmpty() || !crashedRequests.isEmpty
 
-    /** Returns the time for which requests with [prompt] are refused, or null if they are served. */
-    fun refusedForMillis(prompt: PromptParts): Long? {
+    /** Returns the time for which the request with [fingerprint] is refused, or null if it is served. */
+    fun refusedForMillis(fingerprint: RequestFingerprint): Long? {
         expire()
         val causes = current()
-        val harmful = causes.requests.filter { prompt.containsAll(it.parts) }
+        if (causes.isEmpty) return null
+        val prompt = fingerprint.prompt
+        val harmful = causes.requests.filter { (prompt + fingerprint.content).containsAll(it.parts) }
         val caller =
             callerOf(prompt)?.let { caller ->
                 causes.callers.firstOrNull { it.caller == caller && isPaused(it) }
             }
         val untilMillis =
             listOfNotNull(
-                harmful.maxOfOrNull { it.lastCrashMillis + CRASH_EXPIRY_MILLIS },
+                harmful.maxOfOrNull { it.lastCrashMillis + it.pauseMillis },
                 caller?.let { it.lastCrashMillis + pauseMillis(it) },
             ).maxOrNull()
         return untilMillis?.let { it - nowMillis() }?.takeIf { it > 0 }
@@ -92,29 +109,38 @@
         return minOf(CRASH_EXPIRY_MILLIS, MIN_CALLER_PAUSE_MILLIS shl doublings)
     }
 
-    /** Records that an upstream is answering [prompt], or has answered it. */
-    fun recordSound(prompt: PromptParts) = prompt.filterNot(::isOrigin).forEach { recordSound(it, nowMillis()) }
+    /** Records that an upstream is answering the request with [fingerprint], which says nothing about its end. */
+    fun recordProgress(fingerprint: RequestFingerprint) = fingerprint.parts.forEach { recordSound(it, nowMillis()) }
 
-    /** Records that an upstream has answered [prompt] completely. */
-    fun recordAnswered(prompt: PromptParts) {
-        recordSound(prompt)
-        callerOf(prompt)?.let(answeredCallers::record)
+    /** Records that an upstream has answered the request with [fingerprint] completely. */
+    fun recordAnswered(fingerprint: RequestFingerprint) {
+        recordProgress(fingerprint)
+        // The content is not computed while there is no crash that could be cleared.
+        if (!crashedRequests.isEmpty && fingerprint.content in crashedRequests) {
+            recordSound(fingerprint.content, nowMillis())
+        }
+        callerOf(fingerprint.origin)?.let(answeredCallers::record)
     }
 
-    /** Records a crash of the upstream [id] with the [prompts] that it may have begun to answer for this host. */
+    /** Records a crash of the upstream [id] with the [suspects] that were in progress on it for this host. */
     fun recordCrash(
         id: UpstreamId,
         startedAtMillis: Long,
-        prompts: List<PromptParts>,
+        suspects: List<Suspect>,
     ) {
         val crash = CrashId(id, startedAtMillis)
-        if (add(crash, nowMillis(), prompts)) unreportedCrashes += crash
+        val prompts = suspects.filterNot { it.answering }.map { it.fingerprint.prompt }
+        val requests = suspects.map { CrashedRequest(it.fingerprint.content, it.answering) }
+        if (add(crash, nowMillis(), prompts, requests)) unreportedCrashes += crash
     }
 
     /** Applies a report from another host. */
     fun merge(report: CrashReport) {
         report.crashes.forEach {
-            add(CrashId(it.id, it.startedAtMillis), nowMillis() - it.ageMillis, it.prompts)
+            // Hosts of older builds state requests without a prompt only.
+            val withoutPrompt = it.prompts.flatten().filter(::isContent)
+            val requests = it.requests.ifEmpty { withoutPrompt.map(::CrashedRequest) }
+            add(CrashId(it.id, it.startedAtMillis), nowMillis() - it.ageMillis, it.prompts, requests)
         }
         report.sound.forEach { clear(it.part, nowMillis() - it.ageMillis) }
         report.answers.forEach(answeredCallers::merge)
@@ -134,33 +160,70 @@
     }
 
     /** Returns all that this host knows, for a host that has just started. */
-    fun report(): CrashReport =
-        CrashReport(crashes.keys.mapNotNull(::crashOf), implicatedParts.mapNotNull(::soundOf), answeredCallers.all())
+    fun report(): CrashReport = CrashReport(
+        crashes.keys.mapNotNull(::crashOf) + earlierCrashes(),
+        (implicatedParts + crashes.values.flatMap { it.requests }.map { it.content }).mapNotNull(::soundOf),
+        answeredCallers.all(),
+    )
 
     private fun crashOf(id: CrashId): UpstreamCrash? = crashes[id]?.let {
-        UpstreamCrash(id.upstream, id.startedAtMillis, nowMillis() - it.atMillis, it.prompts.toList())
+        val ageMillis = nowMillis() - it.atMillis
+        UpstreamCrash(id.upstream, id.startedAtMillis, ageMillis, it.prompts.toList(), it.requests.toList())
     }
 
-    private fun soundOf(part: String): SoundPart? = soundAtMillis[part]?.let { SoundPart(part, nowMillis() - it) }
+    /** Returns the crashes that are only known for the requests that were in progress. */
+    private fun earlierCrashes(): List<UpstreamCrash> {
+        val byCrash =
+            crashedRequests
+                .all()
+                .flatMap { history -> history.crashes.map { history.content to it } }
+                .groupBy { (_, crash) -> crash.crash }
+        return byCrash.filterKeys { it !in crashes }.map { (id, entries) ->
+            val ageMillis = nowMillis() - entries.first().second.atMillis
+            val requests = entries.map { (content, crash) -> CrashedRequest(content, crash.answering) }
+            UpstreamCrash(id.upstream, id.startedAtMillis, ageMillis, emptyList(), requests)
+        }
+    }
 
-    /** Adds a crash or prompts to a known one; returns whether that is new. */
+    private fun soundOf(part: String): SoundPart? {
+        val atMillis = crashedRequests.answeredAtMillis(part) ?: soundAtMillis[part]
+        return atMillis?.let { SoundPart(part, nowMillis() - it) }
+    }
+
+    /** Adds a crash, or to a known one [prompts] and [requests]; returns whether that is new. */
     private fun add(
         id: CrashId,
         atMillis: Long,
         prompts: List<PromptParts>,
+        requests: List<CrashedRequest>,
     ): Boolean {
-        if (prompts.isEmpty()) return false
+        if (prompts.isEmpty() && requests.isEmpty()) return false
         expire()
-        val crash = crashes.getOrPut(id) { Crash(atMillis, LinkedHashSet()) }
-        val added = crash.prompts.addAll(prompts.take(MAX_PROMPTS_PER_CRASH - crash.prompts.size))
+        val known = crashes[id]
+        val recorded =
+            requests.count {
+                val crash = RequestCrash(id, atMillis, it.answering)
+                crashedRequests.recordCrash(it.content, crash, answeredAtMillis = soundAtMillis[it.content])
+            }
+        if (recorded > 0) knownCauses = null
+        if (known == null && atMillis < nowMillis() - CRASH_EXPIRY_MILLIS) return recorded > 0
+        val crash = known ?: Crash(atMillis).also { crashes[id] = it }
         if (crashes.size > MAX_CRASHES) crashes.remove(crashes.keys.first())
-        if (!added) return false
+        val requestsAdded = crash.requests.addAll(requests.take(MAX_REQUESTS_PER_CRASH - crash.requests.size))
+        val promptsAdded = crash.prompts.addAll(prompts.take(MAX_PROMPTS_PER_CRASH - crash.prompts.size))
+        if (promptsAdded) implicate(crash, prompts)
+        return requestsAdded || promptsAdded
+    }
+
+    private fun implicate(
+        crash: Crash,
+        prompts: List<PromptParts>,
+    ) {
         val allPrompts = crashes.values.flatMap { it.prompts }
         implicatedParts = allPrompts.flatMapTo(HashSet()) { it.filterNot(::isOrigin) }
         answeredCallers.watch(allPrompts.mapNotNullTo(HashSet(), ::callerOf))
         prompts.flatten().filterTo(unreportedSound) { !isOrigin(it) && !isImplicated(it, crash) }
         knownCauses = null
-        return true
     }
 
     private fun recordSound(
@@ -168,7 +231,7 @@
         atMillis: Long,
     ) {
         clear(part, atMillis)
-        if (part !in implicatedParts) return
+        if (part !in implicatedParts && part !in crashedRequests) return
         if (atMillis - (soundReportedAtMillis[part] ?: Long.MIN_VALUE / 2) < SOUND_REPORT_INTERVAL_MILLIS) return
         soundReportedAtMillis[part] = atMillis
         unreportedSound += part
@@ -180,12 +243,13 @@
     ) {
         if (atMillis <= (soundAtMillis[part] ?: Long.MIN_VALUE)) return
         soundAtMillis[part] = atMillis
-        if (part in implicatedParts) knownCauses = null
+        if (part in crashedRequests) crashedRequests.recordAnswered(part, atMillis)
+        if (part in implicatedParts || part in crashedRequests) knownCauses = null
     }
 
     private fun expire() {
         val oldestMillis = nowMillis() - CRASH_EXPIRY_MILLIS
-        if (crashes.values.removeIf { it.atMillis < oldestMillis }) knownCauses = null
+        if (crashes.values.removeIf { it.atMillis < oldestMillis } or crashedRequests.expire()) knownCauses = null
     }
 
     private fun isImplicated(
@@ -213,6 +277,7 @@
                     .takeIf { implicated.isNotEmpty() }
             }
         },
+        crashedRequests.repeated(),
     )
 }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
@@ -1,5 +1,6 @@
 /*
- * Requests that crash each upstream that begins to answer them, through a gateway over loopback.
+ * Requests that crash each upstream that begins to answer them, through a gateway over loopback. In the tests of the
+ * same request, its arrivals differ in all that doesn't identify it: prompt parts, session, framing and other headers.
  */
 package io.carawaytrack.gateway
 
@@ -11,6 +12,8 @@
 /** Time that an upstream takes to crash: crashes of several upstreams at once do not count as several. */
 private const val PAUSE_MILLIS = 300L
 
+private const val PARTS = "x-parts: a:9,b:5,session:1\n"
+
 internal class CrashingPromptTest : GatewayFixture() {
     private fun serveCrashing(count: Int) =
         serve(*Array(count) { index -> { request, out, _ -> answerOrCrash(index, request, out) } })
@@ -34,7 +37,7 @@
         return true
     }
 
-    private fun RawMessage.isDeadly() = "deadly" in start || "deadly:" in this["x-parts"].orEmpty()
+    private fun RawMessage.isDeadly() = "deadly" in start || "deadly" in body || "deadly:" in this["x-parts"].orEmpty()
 
     private fun draft(parts: String) = statusOf(request("/draft/x", headers = "x-parts: $parts\n"))
 
@@ -43,6 +46,12 @@
         key: String = "k1",
     ) = statusOf(request("/lookup/$item", key = key))
 
+    /** Returns the status of a message of a session, whose parts all its messages have in common. */
+    private fun message(
+        body: String,
+        headers: String = PARTS,
+    ) = statusOf(request("/draft/x", body = body, headers = headers))
+
     private fun crashed() = upstreams.count { upstream -> upstream.requests.any { it.isDeadly() } }
 
     private fun statusOf(request: String) = exchange(request)?.start.orEmpty().substring(9, 12)
@@ -91,6 +100,38 @@
         expectThat(lookup("sound")).isEqualTo("200")
     }
 
+    /** Guards against a deadly request that its prompt's sound parts hide, so that it crashes upstreams without end. */
+    @Test
+    fun `a deadly message does not crash one upstream after the other while its session is served`() {
+        serveCrashing(count = 8)
+        repeat(2) {
+            expectThat(message("deadly")).isEqualTo("502")
+            repeat(3) { sound -> expectThat(message("sound $sound")).isEqualTo("200") }
+        }
+        repeat(3) { expectThat(message("deadly")).isEqualTo("503") }
+        expectThat(crashed()).isEqualTo(3)
+        repeat(3) { expectThat(message("sound $it")).isEqualTo("200") }
+    }
+
+    /** Guards against a request that is not recognised when it comes again with other headers or another framing. */
+    @Test
+    fun `a deadly request is recognised whatever its headers and its framing are`() {
+        serveCrashing(count = 8)
+        repeat(2) { expectThat(message("deadly")).isEqualTo("502") }
+        val chunked =
+            "POST /draft/x HTTP/1.1\nHost: SHOP.example:80\nx-attempt: id1\nAuthorization: Bearer k1\n" +
+                "Transfer-Encoding: chunked\n\n2\nde\n4\nadly\n0\n\n"
+        val arrivals =
+            listOf(
+                request("/draft/x", body = "deadly"),
+                request("/draft/x", body = "deadly", headers = "x-parts: other:3\nx-session: s2\nx-usage: 1,2\n"),
+                chunked,
+            )
+        expectThat(arrivals.map(::statusOf)).isEqualTo(List(arrivals.size) { "503" })
+        expectThat(crashed()).isEqualTo(3)
+        expectThat(message("sound", headers = "")).isEqualTo("200")
+    }
+
     @Test
     fun `a crash is reported before its callers are answered, so that no repeat overtakes the report`() {
         serveCrashing(count = 2)
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/PromptQuarantineTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/PromptQuarantineTest.kt
@@ -4,8 +4,8 @@
  */
 package io.carawaytrack.gateway
 
-import io.carawaytrack.fleet.PromptParts
 import io.carawaytrack.fleet.contentPart
+import io.carawaytrack.fleet.isOrigin
 import io.carawaytrack.model.UpstreamId
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.Test
@@ -21,20 +21,32 @@
     private val quarantine = PromptQuarantine { nowMillis }
     private val otherHost = PromptQuarantine { nowMillis }
 
-    /** Returns the prompt with [parts]; one that begins with # stands for the content of a request without a prompt. */
-    private fun prompt(parts: String): PromptParts = parts.split(' ').map {
-        if (it.startsWith('#')) contentPart(it) else it
+    /**
+     * Returns the fingerprint of a request with [parts]. One that begins with # stands for its content; without any,
+     * requests with the same parts have the same content.
+     */
+    private fun fingerprint(parts: String): RequestFingerprint {
+        val entries = parts.split(' ')
+        val content = entries.find { it.startsWith('#') } ?: parts
+        return RequestFingerprint(
+            entries.filter(::isOrigin),
+            entries.filterNot { isOrigin(it) || it.startsWith('#') },
+        ) { contentPart(content) }
     }
 
-    private fun PromptQuarantine.refuses(prompt: String) = refusedForMillis(prompt(prompt)) != null
+    private fun PromptQuarantine.refuses(request: String) = refusedForMillis(fingerprint(request)) != null
 
-    /** Lets an upstream crash [afterMillis] after the last event, with the [prompts] of one host. */
+    /**
+     * Lets an upstream crash [afterMillis] after the last event, with the [requests] of one host; the answers to those
+     * that begin with ~ had gone on for some time.
+     */
     private fun PromptQuarantine.crash(
-        vararg prompts: String,
+        vararg requests: String,
         afterMillis: Long = 400,
     ) {
         nowMillis += afterMillis
-        recordCrash(UpstreamId("u${++crashes}"), startedAtMillis = 1, prompts.map(::prompt))
+        val suspects = requests.map { Suspect(fingerprint(it.removePrefix("~")), answering = it.startsWith('~')) }
+        recordCrash(UpstreamId("u${++crashes}"), startedAtMillis = 1, suspects)
         exchangeReports()
     }
 
@@ -43,7 +55,7 @@
         afterMillis: Long = 100,
     ) {
         nowMillis += afterMillis
-        recordAnswered(prompt(prompt))
+        recordAnswered(fingerprint(prompt))
         exchangeReports()
     }
 
@@ -159,6 +171,46 @@
                 repeat(5) { quarantine.crash("$R $C a $it x", "$R $C b $it y", "$R $OTHER c $it z") }
                 quarantine.answer("$R $C a b c x y z")
             },
+            Case(
+                "a request that comes again, though others with its parts are answered",
+                refused = listOf("a b s #d", "#d", "x #d"),
+                served = listOf("a b s #1", "a b #2"),
+            ) {
+                repeat(2) {
+                    quarantine.crash("a b s #d")
+                    quarantine.answer("a b s #$it", afterMillis = 900)
+                }
+                otherHost.crash("a b s #d")
+                otherHost.answer("a b s #9")
+            },
+            Case("a request after three crashes at two times", listOf("a #d"), listOf("a #1")) {
+                quarantine.crash("a #d")
+                quarantine.crash("a #d", afterMillis = 5)
+                quarantine.crash("a #d", afterMillis = 2_200)
+            },
+            Case("no request that is answered between its crashes", emptyList(), listOf("a #1")) {
+                repeat(2) { quarantine.crash("a #1") }
+                otherHost.answer("a #1")
+                quarantine.crash("a #1", afterMillis = 3_000)
+            },
+            Case("the request alone, not one that ran beside it at some crashes", listOf("a #d"), listOf("b #1")) {
+                repeat(3) { quarantine.crash("a #d", "b #1") }
+                quarantine.crash("a #d")
+            },
+            Case("the request alone, not one that was being answered each time", listOf("a #d"), listOf("b #1")) {
+                repeat(3) { quarantine.crash("~b #1", "a #d") }
+            },
+            Case("a request whose answer had gone on before each crash", listOf("a #d"), listOf("a #1")) {
+                repeat(3) { quarantine.crash("~a #d") }
+            },
+            Case("a request after crashes of many others", listOf("a #d"), listOf("a #1")) {
+                repeat(2) { quarantine.crash("a #d") }
+                repeat(100) { quarantine.crash("$it #y$it") }
+                quarantine.crash("a #d")
+            },
+            Case("a request that comes again minutes later", listOf("a #d"), listOf("a #1")) {
+                repeat(3) { quarantine.crash("a #d", afterMillis = 400_000) }
+            },
             Case("a part whose crashes two hosts saw", listOf("c d 9"), listOf("c 9")) {
                 quarantine.crash("a d 1")
                 otherHost.crash("b d 2")
@@ -200,11 +252,44 @@
         expectThat(started.refuses("e d 9")).isTrue()
     }
 
+    /** Guards against hosts that learn of recent crashes only, and let a request in that the others refuse. */
+    @Test
+    fun `a host that starts later refuses a request whose crashes were long ago, unless it was answered`() {
+        repeat(3) { quarantine.crash("a #d", "b #1", afterMillis = 200_000) }
+        quarantine.answer("b #1")
+        nowMillis += 200_000
+        val started = PromptQuarantine { nowMillis }.apply { merge(quarantine.report()) }
+        expectThat(started.refuses("a #d")).isTrue()
+        expectThat(started.refuses("b #1")).isFalse()
+    }
+
+    /** Guards against a request that crashes several upstreams again each time its quarantine ends. */
+    @Test
+    fun `a request is tried once when its quarantine ends, and refused again after one more crash`() {
+        repeat(3) { quarantine.crash("a #d") }
+        nowMillis += 600_000
+        expectThat(quarantine.refuses("a #d")).isFalse()
+        quarantine.crash("a #d")
+        expectThat(quarantine.refuses("a #d")).isTrue()
+    }
+
+    /** Guards against work for each request while no upstream has crashed. */
+    @Test
+    fun `the content of a request is not computed while nothing has crashed`() {
+        var computed = 0
+        val request = RequestFingerprint(listOf(R, C), emptyList()) { contentPart("x").also { computed++ } }
+        quarantine.recordProgress(request)
+        quarantine.recordAnswered(request)
+        expectThat(quarantine.refusedForMillis(request)).isEqualTo(null)
+        expectThat(quarantine.isActive).isFalse()
+        expectThat(computed).isEqualTo(0)
+    }
+
     @Test
     fun `a caller is served again after a pause that doubles with each crash`() {
         repeat(3) { quarantine.crash("$R $C #x$it") }
         listOf(10_000L, 20_000L, 40_000L).forEachIndexed { index, pauseMillis ->
-            expectThat(quarantine.refusedForMillis(prompt("$R $C #y"))).isEqualTo(pauseMillis)
+            expectThat(quarantine.refusedForMillis(fingerprint("$R $C #y"))).isEqualTo(pauseMillis)
             nowMillis += pauseMillis
             expectThat(quarantine.refuses("$R $C #y")).isFalse()
             quarantine.crash("$R $C #z$index", afterMillis = 0)
