Count crashes in the middle of an answer against their request

Callers saw: a request whose answer goes on for half a second before it crashes its upstream took three upstreams at each arrival, without end.

Cause: an answer that went on for 0.5 s counted as proof that its request is sound; the broken attempt was not checked for a crash.

Changed: each broken attempt is checked, and the crash counts against the content of its request. Progress clears the parts of its prompt only.

Result: CrashingPromptTest, "a request that crashes upstreams in the middle of its answer is refused after three crashes", failed before and passes; the tests of broken answers, endless answers and stalls pass.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
@@ -72,10 +72,10 @@
         upstream: FleetUpstream,
         done: () -> Unit,
     ) {
-        if (sound) crashes.recordProgress(request)
-        if (sound) return done()
-        crashes.check(upstream, request, answering = false) { crashed ->
-            if (crashed) crashCount++
+        val answering = sound
+        if (answering) crashes.recordProgress(request)
+        crashes.check(upstream, request, answering) { crashed ->
+            if (crashed && !answering) crashCount++
             done()
         }
     }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
@@ -12,6 +12,9 @@
 /** Time that an upstream takes to crash: crashes of several upstreams at once do not count as several. */
 private const val PAUSE_MILLIS = 300L
 
+/** Time after the first event from which on an answer counts as going on, with some reserve. */
+private const val ANSWERING_MILLIS = 700L
+
 private const val PARTS = "x-parts: a:9,b:5,session:1\n"
 
 internal class CrashingPromptTest : GatewayFixture() {
@@ -24,6 +27,7 @@
         out: OutputStream,
     ): Boolean {
         if (request.isDeadly()) {
+            if ("late" in request.body) answerInPart(request, out)
             advance(PAUSE_MILLIS)
             upstreams[index].close()
             return false
@@ -37,6 +41,18 @@
         return true
     }
 
+    /** Sends two events that show that the answer goes on. */
+    private fun answerInPart(
+        request: RawMessage,
+        out: OutputStream,
+    ) {
+        val lastEvent = request["last-event-id"]?.toInt() ?: 0
+        out.send(STREAM_HEAD)
+        out.raw(event(lastEvent + 1))
+        Thread.sleep(ANSWERING_MILLIS)
+        out.raw(event(lastEvent + 2))
+    }
+
     private fun RawMessage.isDeadly() = "deadly" in start || "deadly" in body || "deadly:" in this["x-parts"].orEmpty()
 
     private fun draft(parts: String) = statusOf(request("/draft/x", headers = "x-parts: $parts\n"))
@@ -132,6 +148,17 @@
         expectThat(message("sound", headers = "")).isEqualTo("200")
     }
 
+    /** Guards against a request whose answer goes on for a while before each crash, and clears the request. */
+    @Test
+    fun `a request that crashes upstreams in the middle of its answer is refused after three crashes`() {
+        serveCrashing(count = 8)
+        message("deadly late")
+        expectThat(crashed()).isEqualTo(3)
+        repeat(2) { expectThat(message("deadly late")).isEqualTo("503") }
+        expectThat(crashed()).isEqualTo(3)
+        expectThat(message("sound")).isEqualTo("200")
+    }
+
     @Test
     fun `a crash is reported before its callers are answered, so that no repeat overtakes the report`() {
         serveCrashing(count = 2)
