Apply a changed limit on headers to open connections

Callers saw: after a configuration had raised the limit on headers, proper requests on connections from before the change ended with 431.

Cause: the decoder of each connection got the limit as a number when the connection was opened.

Changed: the decoder counts the bytes of each head and reads the limit in force whenever more of it arrives, up or down. A head that is half read at a change may have the higher of the two limits.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -63,7 +63,7 @@
                 override fun initChannel(channel: SocketChannel) {
                     val connection = CallerConnection(channel, this@CallerConnections)
                     channel.pipeline().addLast(
-                        UnambiguousRequestDecoder(events.limits().maxHeaderBytes),
+                        UnambiguousRequestDecoder { events.limits().maxHeaderBytes },
                         connection.encoder,
                         connection,
                     )
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -130,8 +130,11 @@
         sticky = false,
     )
 
-    private fun catalog(maxBodyBytes: Long) = Catalog(
-        version = 1,
+    private fun catalog(
+        limits: CallerLimits,
+        version: Long = 1,
+    ) = Catalog(
+        version = version,
         routes =
             listOf(
                 route("lookup"),
@@ -149,7 +152,7 @@
         pools = listOf("stock", "llm").map { pool(it) }.associateBy { it.name },
         organisations = listOf(organisation("stalls", "k1"), organisation("scribes", "k2")),
         keysRequired = true,
-        limits = CallerLimits(maxBodyBytes = maxBodyBytes),
+        limits = limits,
     )
 
     private fun organisation(
@@ -196,9 +199,15 @@
             upstreams += upstream
             listOf("stock", "llm").forEach { pool -> announce("$pool-$index", pool, upstream, index) }
         }
-        onLoop { gateway.apply(catalog(maxBodyBytes)) }
+        changeLimits(CallerLimits(maxBodyBytes = maxBodyBytes), version = 1)
     }
 
+    /** Puts a configuration with other [limits] in force. */
+    protected fun changeLimits(
+        limits: CallerLimits,
+        version: Long = 2,
+    ) = onLoop { gateway.apply(catalog(limits, version)) }
+
     private fun announce(
         id: String,
         pool: String,
