Let a request line be as long as the limit on headers

Callers saw: 431 for request lines of more than 8,192 bytes, also where the configuration allows larger heads.

Cause: the decoder limited request lines to a size of its own.

Changed: the limit of a request line is the limit on headers, and never less than 8,192 bytes.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UnambiguousRequestDecoder.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UnambiguousRequestDecoder.kt
@@ -19,7 +19,8 @@
 import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
 
-private const val MAX_LINE_BYTES = 8_192
+/** Length that a request line may have under any limit on headers; RFC 9112 recommends at least 8000 bytes. */
+private const val MIN_LINE_LIMIT_BYTES = 8_192
 
 private const val MAX_CHUNK_BYTES = 65_536
 
@@ -27,7 +28,7 @@
 private const val LINE_END_BYTES = 2
 
 /**
- * Limits the header lines and the trailer lines of a request to [maxHeaderBytes] each. A head that is
+ * Limits the request line, the header lines and the trailer lines of a request to [maxHeaderBytes] each. A head that is
  * being received may be as large as the highest limit since its first byte, so that a lower one doesn't cut it off.
  * Rejects requests with both Content-Length and a chunked body, whose end two parsers may see in different places.
  */
@@ -119,7 +120,7 @@
     }
 
     private fun isTooLong(bytes: Int): Boolean = when (section) {
-        Section.RequestLine -> bytes > MAX_LINE_BYTES + LINE_END_BYTES
+        Section.RequestLine -> bytes > maxOf(limitBytes, MIN_LINE_LIMIT_BYTES) + LINE_END_BYTES
         // Also the line that is being read and the empty one at the end.
         else -> bytes > limitBytes + (lines + 2) * LINE_END_BYTES
     }
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ChangedLimitsTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ChangedLimitsTest.kt
@@ -50,6 +50,7 @@
         listOf(
             LimitCase("a header under a raised limit", SMALL_BYTES, LARGE_BYTES, OK) { withHeader(BETWEEN_BYTES) },
             LimitCase("many headers under a raised limit", SMALL_BYTES, LARGE_BYTES, OK) { withHeaders(BETWEEN_BYTES) },
+            LimitCase("a request line under a raised limit", SMALL_BYTES, LARGE_BYTES, OK) { withLine(BETWEEN_BYTES) },
             LimitCase("a trailer under a raised limit", SMALL_BYTES, LARGE_BYTES, OK) { withTrailer(BETWEEN_BYTES) },
             LimitCase("a header over a raised limit", SMALL_BYTES, LARGE_BYTES, TOO_LARGE) { withHeader(BEYOND_BYTES) },
             LimitCase("many headers over a raised limit", SMALL_BYTES, LARGE_BYTES, TOO_LARGE) {
@@ -75,6 +76,9 @@
             LimitCase("headers half read at the raise", SMALL_BYTES, LARGE_BYTES, OK, sentBefore = 5_000) {
                 withHeaders(BETWEEN_BYTES)
             },
+            LimitCase("a request line half read at the raise", SMALL_BYTES, LARGE_BYTES, OK, sentBefore = 5_000) {
+                withLine(BETWEEN_BYTES)
+            },
             LimitCase("a header half read at the lowering", LARGE_BYTES, SMALL_BYTES, OK, sentBefore = 5_000) {
                 withHeader(BETWEEN_BYTES)
             },
