Accept uploads up to the limit that was in force at their head

Callers saw: 413 in the middle of an upload that was allowed when it began, if a configuration lowered the limit on bodies meanwhile.

Cause: the limit was read anew for each part of a body.

Changed: a body may be as large as the highest limit since its head was accepted.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerConnections.kt
@@ -99,6 +99,9 @@
         private var keepAlive = true
         private var phaseSinceMillis = owner.nowMillis()
         private var receiving = false
+
+        /** Highest limit on the body since its head was accepted, so that a lower one does not cut it off. */
+        private var maxBodyBytes = 0L
         private var lastUnsentBytes = 0L
 
         private val bodyReservation = BodyReservation(owner.bodyMemory, channel, ::resumeReading)
@@ -134,6 +137,7 @@
             encoder.answer(request.method())
             phaseSinceMillis = owner.nowMillis()
             receiving = true
+            maxBodyBytes = owner.events.limits().maxBodyBytes
             val rejectionStatus = rejectionStatusOf(request)
             if (rejectionStatus != null) {
                 reject(rejectionStatus)
@@ -167,7 +171,7 @@
             return when {
                 failed?.cause() is TooLongFrameException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
                 failed != null || isAmbiguous(headers) -> HttpResponseStatus.BAD_REQUEST
-                HttpUtil.getContentLength(request, 0L) > owner.events.limits().maxBodyBytes ->
+                HttpUtil.getContentLength(request, 0L) > maxBodyBytes ->
                     HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
                 else -> null
             }
@@ -201,10 +205,9 @@
             val fullBody = body ?: channel.alloc().compositeBuffer(MAX_BODY_PARTS).also { body = it }
             fullBody.addComponent(true, bytes)
             // The size of a chunked body is not known before its end, so it may be as large as any.
-            if (fullBody.readableBytes() > SMALL_BODY_BYTES) {
-                bodyReservation.reserve(owner.events.limits().maxBodyBytes)
-            }
-            return fullBody.readableBytes() <= owner.events.limits().maxBodyBytes
+            maxBodyBytes = maxOf(maxBodyBytes, owner.events.limits().maxBodyBytes)
+            if (fullBody.readableBytes() > SMALL_BODY_BYTES) bodyReservation.reserve(maxBodyBytes)
+            return fullBody.readableBytes() <= maxBodyBytes
         }
 
         private fun reject(status: HttpResponseStatus) {
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ChangedLimitsTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ChangedLimitsTest.kt
@@ -46,6 +46,29 @@
         "POST /lookup/x HTTP/1.1\nHost: shop.example\nx-attempt: id1\nAuthorization: Bearer k1\n" +
             "Transfer-Encoding: chunked\n\n4\nbody\n0\nx-trace: ${"t".repeat(bytes)}\n\n"
 
+    private fun withBody(bytes: Int) = request("/lookup/x", body = "b".repeat(bytes))
+
+    private fun withChunk(bytes: Int) =
+        "POST /lookup/x HTTP/1.1\nHost: shop.example\nx-attempt: id1\nAuthorization: Bearer k1\n" +
+            "Transfer-Encoding: chunked\n\n${bytes.toString(16)}\n${"b".repeat(bytes)}\n0\n\n"
+
+    private val bodies =
+        listOf(
+            LimitCase("a body under a raised limit", SMALL_BYTES, LARGE_BYTES, OK) { withBody(BETWEEN_BYTES) },
+            LimitCase("a body over a lowered limit", LARGE_BYTES, SMALL_BYTES, BODY_TOO_LARGE) {
+                withBody(BETWEEN_BYTES)
+            },
+            LimitCase("a body half read at the raise", SMALL_BYTES, LARGE_BYTES, OK, sentBefore = 5_000) {
+                withChunk(BETWEEN_BYTES)
+            },
+            LimitCase("a body half read at the lowering", LARGE_BYTES, SMALL_BYTES, OK, sentBefore = 5_000) {
+                withBody(BETWEEN_BYTES)
+            },
+            LimitCase("chunks half read at the lowering", LARGE_BYTES, SMALL_BYTES, OK, sentBefore = 5_000) {
+                withChunk(BETWEEN_BYTES)
+            },
+        )
+
     private val heads =
         listOf(
             LimitCase("a header under a raised limit", SMALL_BYTES, LARGE_BYTES, OK) { withHeader(BETWEEN_BYTES) },
@@ -92,6 +115,11 @@
     fun `a limit on headers that changes holds on open connections, and for heads that are half read`() =
         heads.map { dynamicTest(it.name) { play(it) { bytes -> CallerLimits(maxHeaderBytes = bytes) } } }
 
+    /** Guards against uploads that are refused halfway because the limit on bodies is lowered meanwhile. */
+    @TestFactory
+    fun `a limit on bodies that changes holds on open connections, but not for bodies that are half read`() =
+        bodies.map { dynamicTest(it.name) { play(it) { bytes -> CallerLimits(maxBodyBytes = bytes.toLong()) } } }
+
     private fun play(
         case: LimitCase,
         limits: (Int) -> CallerLimits,
@@ -131,6 +159,7 @@
     private companion object {
         const val OK = "200"
         const val BAD = "400"
+        const val BODY_TOO_LARGE = "413"
         const val TOO_LARGE = "431"
         const val HEADER_BYTES = 100
     }
