Do not take the planned end of an upstream for a crash

Callers saw: a request that was in progress on upstreams which left was not sent on after the second one, and could be refused as one that crashes upstreams.

Cause: a broken attempt counted as a crash if its upstream accepted no connection, also when the upstream had announced that it leaves.

Changed: what an upstream that leaves was running is sent on without a check for a crash.

Result: CrashingPromptTest, "a request that leaving upstreams cut off is not refused", failed before and passes.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Exchange.kt
@@ -269,8 +269,9 @@
                 else -> fail(brokenOff(execution, end))
             }
         }
-        // Sent again only after the check: a prompt that crashes upstreams would take the next one at once.
-        if (neverSent) proceed() else watch.attemptBroken(upstream.upstream, proceed)
+        // An upstream that leaves ends by plan. After any other, a request is sent again only once it is checked for a
+        // crash: one that crashes upstreams would take the next one at once.
+        if (neverSent || upstream.isLeaving) proceed() else watch.attemptBroken(upstream.upstream, proceed)
     }
 
     private fun recordOutcome(good: Boolean) {
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamDirectory.kt
@@ -256,6 +256,5 @@
         }
     }
 
-    private fun isInService(state: UpstreamState) =
-        !state.departed && !state.upstream.draining && state.upstream.zone !in view.zonesOut
+    private fun isInService(state: UpstreamState) = !state.isLeaving && state.upstream.zone !in view.zonesOut
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/UpstreamState.kt
@@ -93,6 +93,9 @@
     /** Whether the upstream has deregistered or its address belongs to another one; it receives no further requests. */
     var departed = false
 
+    /** Whether the upstream has announced that it ends, or has ended. */
+    val isLeaving: Boolean get() = departed || upstream.draining
+
     /** Momentary slowness that the upstream states. */
     val pace = MomentaryPace()
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
@@ -27,6 +27,7 @@
         out: OutputStream,
     ): Boolean {
         if (request.isDeadly()) {
+            if ("leaving" in request.body) announceLeaving(index)
             if ("late" in request.body) answerInPart(request, out)
             advance(PAUSE_MILLIS)
             upstreams[index].close()
@@ -159,6 +160,16 @@
         expectThat(message("sound")).isEqualTo("200")
     }
 
+    /** Guards against planned ends of upstreams that count as crashes of the requests that they cut off. */
+    @Test
+    fun `a request that leaving upstreams cut off is not refused`() {
+        serveCrashing(count = 8)
+        repeat(2) { expectThat(message("deadly, leaving")).isEqualTo("502") }
+        expectThat(crashed()).isEqualTo(6)
+        expectThat(crashesRecorded.get()).isEqualTo(0)
+        expectThat(message("sound")).isEqualTo("200")
+    }
+
     @Test
     fun `a crash is reported before its callers are answered, so that no repeat overtakes the report`() {
         serveCrashing(count = 2)
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/GatewayFixture.kt
@@ -208,11 +208,17 @@
         version: Long = 2,
     ) = onLoop { gateway.apply(catalog(limits, version)) }
 
+    /** Announces that the upstream with [index] leaves. */
+    protected fun announceLeaving(index: Int) = listOf("stock", "llm").forEach { pool ->
+        announce("$pool-$index", pool, upstreams[index], index, draining = true)
+    }
+
     private fun announce(
         id: String,
         pool: String,
         fake: FakeUpstream,
         index: Int,
+        draining: Boolean = false,
     ) {
         val address = if (pool == "stock") fake.address else fake.address.copy(host = "localhost")
         val upstream =
@@ -223,9 +229,9 @@
                 zone = ZoneName(if (index == 0) "a" else "b"),
                 version = "v1",
                 slots = 8,
-                draining = false,
+                draining = draining,
                 coldMillis = 0,
-                sequence = 1,
+                sequence = if (draining) 2 else 1,
                 startedAtMillis = 1,
             )
         onLoop { gateway.updateUpstream(KnownUpstream(upstream, nowMillis())) }
