Test crashes in the middle of an answer without a timed wait

Cause: CrashingPromptTest slept until an answer counted as going on.

Changed: the upstream sends its next event once the caller has read the one before, and the gateway's clock is advanced meanwhile.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/CrashingPromptTest.kt
@@ -8,16 +8,20 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import java.io.OutputStream
+import java.util.concurrent.Semaphore
+import java.util.concurrent.TimeUnit
 
 /** Time that an upstream takes to crash: crashes of several upstreams at once do not count as several. */
 private const val PAUSE_MILLIS = 300L
 
-/** Time after the first event from which on an answer counts as going on, with some reserve. */
+/** Time after the first event from which on an answer counts as going on, which is 500 ms, with some reserve. */
 private const val ANSWERING_MILLIS = 700L
 
 private const val PARTS = "x-parts: a:9,b:5,session:1\n"
 
 internal class CrashingPromptTest : GatewayFixture() {
+    private val eventsRead = Semaphore(0)
+
     private fun serveCrashing(count: Int) =
         serve(*Array(count) { index -> { request, out, _ -> answerOrCrash(index, request, out) } })
 
@@ -42,7 +46,7 @@
         return true
     }
 
-    /** Sends two events that show that the answer goes on. */
+    /** Sends two events that show that the answer goes on, each once the caller has read the one before. */
     private fun answerInPart(
         request: RawMessage,
         out: OutputStream,
@@ -50,8 +54,22 @@
         val lastEvent = request["last-event-id"]?.toInt() ?: 0
         out.send(STREAM_HEAD)
         out.raw(event(lastEvent + 1))
-        Thread.sleep(ANSWERING_MILLIS)
+        awaitEventRead()
+        advance(ANSWERING_MILLIS)
         out.raw(event(lastEvent + 2))
+        awaitEventRead()
+    }
+
+    private fun awaitEventRead() {
+        check(eventsRead.tryAcquire(TIMEOUT_SECONDS, TimeUnit.SECONDS)) { "no event was read" }
+    }
+
+    /** Returns the status of a message whose events are reported as they are read, until its connection ends. */
+    private fun messageReadByEvent(body: String): String = FakeCaller(callers).use { caller ->
+        caller.send(request("/draft/x", body = body, headers = PARTS))
+        val status = caller.readUntil("\r\n").substring(9, 12)
+        while (status == "200" && caller.readUntil("data: ").endsWith("data: ")) eventsRead.release()
+        status
     }
 
     private fun RawMessage.isDeadly() = "deadly" in start || "deadly" in body || "deadly:" in this["x-parts"].orEmpty()
@@ -153,9 +171,9 @@
     @Test
     fun `a request that crashes upstreams in the middle of its answer is refused after three crashes`() {
         serveCrashing(count = 8)
-        message("deadly late")
+        expectThat(messageReadByEvent("deadly late")).isEqualTo("200")
         expectThat(crashed()).isEqualTo(3)
-        repeat(2) { expectThat(message("deadly late")).isEqualTo("503") }
+        repeat(2) { expectThat(messageReadByEvent("deadly late")).isEqualTo("503") }
         expectThat(crashed()).isEqualTo(3)
         expectThat(message("sound")).isEqualTo("200")
     }
