Say in one place what the same request is and what condemns it

Cause: read as a newcomer would, the identity of a request was spread over two files, its name "fingerprint" stood for another thing in `limits`, and what condemns and clears a request was told in parts.

Changed: RequestTraits.kt builds and explains the identity, the head of PromptQuarantine.kt tells what condemns and clears a request and a part, limits have their reasons, and crashes are named in CrashCauses.kt instead of numbered. PromptQuarantineTest has two cases more: the sound requests of the same caller, route and parts stay served on both hosts.

Result: no change in behaviour intended.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -7,8 +7,6 @@
 import io.carawaytrack.fleet.CatalogRoute
 import io.carawaytrack.fleet.FleetUpstream
 import io.carawaytrack.fleet.RouteMatch
-import io.carawaytrack.fleet.callerPart
-import io.carawaytrack.fleet.routePart
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
@@ -61,24 +59,12 @@
     /** Urgency among the requests of the host, 0 is the most urgent. */
     val rank: Int = rankOf(organisation?.priority, route.priority, ranksByRoute)
 
-    val fingerprint: RequestFingerprint by lazy(LazyThreadSafetyMode.NONE) {
-        RequestFingerprint(
-            listOfNotNull(routePart(route.name), organisation?.let { callerPart(it.name.value, route.name) }),
-            demand.parts.map { it.id },
-            ::content,
-        )
-    }
+    /** What tells this request from others when an upstream crashes. */
+    val traits: RequestTraits by lazy(LazyThreadSafetyMode.NONE) { traitsOf(this) }
 
     /** Whether the gateway selects the model. */
     val gatewayChoosesModel: Boolean get() = route.models.isNotEmpty()
 
-    private fun content(): String {
-        val line = "${organisation?.name?.value} ${head.method()} ${head.uri()}"
-        // Without a body only the parts tell one prompt from another.
-        val parts = if (body.isReadable) "" else demand.parts.joinToString(separator = "") { " ${it.id}" }
-        return contentOf(line + parts, body)
-    }
-
     /** Returns the identifier of the last event that the caller has received, if it resumes a stream. */
     fun lastEventId(): String? = head.headers()[LAST_EVENT_ID]
 }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
@@ -18,8 +18,10 @@
 /** Minimum number of different times in a series under one request: another one may have been there once. */
 private const val MIN_REQUEST_MOMENTS = 2
 
-/** Time after its last crash for which a request or part is refused that explains a series of crashes. */
+/** Time after its last crash for which a request is refused; each trial after it may cost an upstream. */
 private const val REQUEST_PAUSE_MILLIS = 600_000L
+
+/** Time after its last crash for which a part is refused; shorter, since a sound part may have been there by chance. */
 internal const val PART_PAUSE_MILLIS = 120_000L
 
 /** Crashes closer to each other than this count as one: a cause outside the requests takes several upstreams. */
@@ -82,22 +84,28 @@
     return CrashCauses(recurring + findSingleRequests(withoutPrompt, recurring, explained), callers)
 }
 
+private data class CrashTime(
+    val crash: Any,
+    val atMillis: Long,
+)
+
 /**
- * A request or prompt part that may be the cause of [crashes], given as their identities and times.
+ * A request or prompt part that may be the cause of [crashes].
  *
  * @property answering number of crashes before which an answer had gone on for some time
  */
 private class CandidateCause(
     val cause: CrashCause,
-    val crashes: List<Pair<Any, Long>>,
+    val crashes: List<CrashTime>,
     val isRequest: Boolean,
     val answering: Int = 0,
 ) {
-    val moments = countMoments(crashes.map { it.second })
+    val moments = countMoments(crashes.map { it.atMillis })
 
-    fun isSeries(crashes: List<Pair<Any, Long>>): Boolean {
+    /** Returns whether [unexplained] ones of its crashes are a series. */
+    fun isSeries(unexplained: List<CrashTime>): Boolean {
         val minMoments = if (isRequest) MIN_REQUEST_MOMENTS else CRASHES_IN_SERIES
-        return crashes.size >= CRASHES_IN_SERIES && countMoments(crashes.map { it.second }) >= minMoments
+        return unexplained.size >= CRASHES_IN_SERIES && countMoments(unexplained.map { it.atMillis }) >= minMoments
     }
 }
 
@@ -109,7 +117,7 @@
     val lastCrashMillis = request.crashes.maxOf { it.atMillis }
     return CandidateCause(
         CrashCause(setOf(request.content), lastCrashMillis, REQUEST_PAUSE_MILLIS),
-        request.crashes.map { it.crash to it.atMillis },
+        request.crashes.map { CrashTime(it.crash, it.atMillis) },
         isRequest = true,
         answering = request.crashes.count { it.answering },
     )
@@ -124,7 +132,7 @@
         val common = all.map { it.parts }.reduce { common, parts -> common intersect parts }
         CandidateCause(
             CrashCause(common, lastCrashMillis(all)),
-            all.map { it.crash to it.crashedAtMillis },
+            all.map { CrashTime(it.crash, it.crashedAtMillis) },
             isRequest = false,
         )
     }
@@ -135,9 +143,9 @@
     candidates: List<CandidateCause>,
     explained: MutableSet<Any>,
 ): List<CrashCause> = candidates.sortedWith(mostLikelyFirst).mapNotNull { candidate ->
-    val unexplained = candidate.crashes.filter { it.first !in explained }
+    val unexplained = candidate.crashes.filter { it.crash !in explained }
     if (!candidate.isSeries(unexplained)) return@mapNotNull null
-    unexplained.mapTo(explained) { it.first }
+    unexplained.mapTo(explained) { it.crash }
     candidate.cause
 }
 
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashDetector.kt
@@ -29,10 +29,10 @@
     private val checks = HashMap<HostPort, Check>()
 
     /** Records that an upstream is answering [request] without a crash so far. */
-    fun recordProgress(request: CallerRequest) = quarantine.recordProgress(request.fingerprint)
+    fun recordProgress(request: CallerRequest) = quarantine.recordProgress(request.traits)
 
     /** Records that an upstream has answered [request] completely. */
-    fun recordAnswered(request: CallerRequest) = quarantine.recordAnswered(request.fingerprint)
+    fun recordAnswered(request: CallerRequest) = quarantine.recordAnswered(request.traits)
 
     /**
      * Checks [upstream] after an attempt of [request] that broke; then calls [done] with whether the upstream has
@@ -46,8 +46,8 @@
     ) {
         val running = checks[upstream.address]
         val check = running ?: Check().also { checks[upstream.address] = it }
-        // The body may be released before the check ends.
-        request.fingerprint.content
+        // Computed now, since the body may be released before the check ends.
+        request.traits.content
         check.attempts += BrokenAttempt(request, answering)
         check.callbacks += done
         if (running == null) checkListening(upstream.address) { listening -> finish(upstream, listening) }
@@ -59,7 +59,7 @@
     ) {
         val check = checks.remove(upstream.address) ?: return
         if (!listening) {
-            val suspects = check.attempts.map { Suspect(it.request.fingerprint, it.answering) }
+            val suspects = check.attempts.map { Suspect(it.request.traits, it.answering) }
             val requests = check.attempts.map { fieldsOf(it) }
             logEvent("upstream_crashed", mapOf("upstream" to upstream.id.value, "requests" to requests))
             quarantine.recordCrash(upstream.id, upstream.startedAtMillis, suspects)
@@ -73,8 +73,8 @@
             "requestId" to id,
             "route" to route.name,
             "organisation" to organisation?.name?.value,
-            "prompt" to fingerprint.prompt,
-            "content" to fingerprint.content,
+            "prompt" to traits.prompt,
+            "content" to traits.content,
             "answering" to attempt.answering,
         )
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashedRequests.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashedRequests.kt
@@ -11,8 +11,13 @@
 /** Minimum time between two searches for expired requests. */
 private const val EXPIRY_INTERVAL_MILLIS = 60_000L
 
+/** Earlier than any time, and far enough from the smallest number that differences to it don't overflow. */
 private const val NEVER_MILLIS = Long.MIN_VALUE / 2
+
+/** Number of remembered requests: the memory that crashes under many different requests may take is some megabytes. */
 private const val MAX_REQUESTS = 4_096
+
+/** Number of remembered crashes of one request: several times those that condemn it. */
 private const val MAX_CRASHES_PER_REQUEST = 16
 
 /** A crash at which a request was in progress; [answering] states whether its answer had gone on for some time. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/Dispatcher.kt
@@ -135,7 +135,7 @@
     private fun tryPlace(exchange: Exchange): Boolean {
         val pool = exchange.pool ?: return false
         val request = exchange.request
-        val refusedForMillis = if (quarantine.isActive) quarantine.refusedForMillis(request.fingerprint) else null
+        val refusedForMillis = if (quarantine.isActive) quarantine.refusedForMillis(request.traits) else null
         if (refusedForMillis != null) {
             exchange.fail(quarantined(exchange, refusedForMillis))
             return true
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
@@ -1,14 +1,19 @@
 /*
- * Quarantine of requests and prompt parts that crash the upstreams that answer them. Each crash implicates the requests
- * that were in progress, and the parts of the prompts that the upstream may have begun to answer; a request without a
- * prompt counts as one part. A part that an upstream has answered around that time or since is cleared, and a request
- * by a complete answer to itself only. Among the others, a request that was in progress at enough crashes is refused
- * when it comes again, whatever its headers are. A part that was in the prompts of enough crashes is quarantined:
- * requests are refused if they contain it and all parts that always came with it, so that a request that shares some of
- * those parts can still clear them. On a route whose crashes have no request or part in common, each implicated
- * request is refused when it comes again. A caller whose requests were in progress at such crashes, and which got few
- * answers meanwhile, is refused on that route for a time that doubles with each crash, since what it sends next cannot
- * be told from what crashed upstreams.
+ * Quarantine of requests and prompt parts that crash the upstreams that answer them.
+ *
+ * A request (see RequestTraits.kt) is condemned by three crashes at two times at which it was in progress, whether or
+ * not its answer had begun, unless another request or part explains them. It is cleared by a complete answer to itself
+ * within two seconds before a crash or at any time after it, and by nothing else. Ten minutes after its last crash it
+ * is tried again, and an hour after it is forgotten.
+ *
+ * A part of prompts is condemned by three crashes at different times, each at the beginning of an answer to a prompt
+ * with it. It is cleared by any answer to a prompt with it that goes on or ends well: requests are refused if they
+ * contain a condemned part and all parts that always came with it, so that a request that shares some of those parts
+ * can still clear them. A request without a prompt counts as one part.
+ *
+ * On a route whose crashes have no request or part in common, each implicated request is refused when it comes again. A
+ * caller whose requests were in progress at such crashes, and which got few answers meanwhile, is refused on that route
+ * for a time that doubles with each crash, since what it sends next cannot be told from what crashed upstreams.
  *
  * The quarantine is meant for a few crashes in a minute. It has neither a network nor a timer; hosts exchange reports.
  */
@@ -43,6 +48,8 @@
 private const val MAX_PAUSE_DOUBLINGS = 4
 private const val MAX_CRASHES = 64
 private const val MAX_PROMPTS_PER_CRASH = 64
+
+/** Several times the requests that an engine runs at once, as hosts add those that each of them had on it. */
 private const val MAX_REQUESTS_PER_CRASH = 256
 private const val MAX_SOUND_PARTS = 4_096
 
@@ -54,7 +61,7 @@
 
 /** A request that was in progress at a crash; [answering] states whether its answer had gone on for some time. */
 internal data class Suspect(
-    val fingerprint: RequestFingerprint,
+    val traits: RequestTraits,
     val answering: Boolean = false,
 )
 
@@ -82,13 +89,13 @@
     /** Whether any crash is known; otherwise nothing is refused. */
     val isActive: Boolean get() = crashes.isNotEmpty() || !crashedRequests.isEmpty
 
-    /** Returns the time for which the request with [fingerprint] is refused, or null if it is served. */
-    fun refusedForMillis(fingerprint: RequestFingerprint): Long? {
+    /** Returns the time for which the request with [traits] is refused, or null if it is served. */
+    fun refusedForMillis(traits: RequestTraits): Long? {
         expire()
         val causes = current()
         if (causes.isEmpty) return null
-        val prompt = fingerprint.prompt
-        val entries = prompt + fingerprint.content
+        val prompt = traits.prompt
+        val entries = prompt + traits.content
         val harmful = causes.requests.filter { entries.containsAll(it.parts) }
         val caller =
             callerOf(prompt)?.let { caller ->
@@ -110,17 +117,17 @@
         return minOf(CRASH_EXPIRY_MILLIS, MIN_CALLER_PAUSE_MILLIS shl doublings)
     }
 
-    /** Records that an upstream is answering the request with [fingerprint], which says nothing about its end. */
-    fun recordProgress(fingerprint: RequestFingerprint) = fingerprint.parts.forEach { recordSound(it, nowMillis()) }
+    /** Records that an upstream is answering the request with [traits], which says nothing about its end. */
+    fun recordProgress(traits: RequestTraits) = traits.parts.forEach { recordSound(it, nowMillis()) }
 
-    /** Records that an upstream has answered the request with [fingerprint] completely. */
-    fun recordAnswered(fingerprint: RequestFingerprint) {
-        recordProgress(fingerprint)
+    /** Records that an upstream has answered the request with [traits] completely. */
+    fun recordAnswered(traits: RequestTraits) {
+        recordProgress(traits)
         // The content is not computed while there is no crash that could be cleared.
-        if (!crashedRequests.isEmpty && fingerprint.content in crashedRequests) {
-            recordSound(fingerprint.content, nowMillis())
+        if (!crashedRequests.isEmpty && traits.content in crashedRequests) {
+            recordSound(traits.content, nowMillis())
         }
-        callerOf(fingerprint.origin)?.let(answeredCallers::record)
+        callerOf(traits.origin)?.let(answeredCallers::record)
     }
 
     /** Records a crash of the upstream [id] with the [suspects] that were in progress on it for this host. */
@@ -130,8 +137,8 @@
         suspects: List<Suspect>,
     ) {
         val crash = CrashId(id, startedAtMillis)
-        val prompts = suspects.filterNot { it.answering }.map { it.fingerprint.prompt }
-        val requests = suspects.map { CrashedRequest(it.fingerprint.content, it.answering) }
+        val prompts = suspects.filterNot { it.answering }.map { it.traits.prompt }
+        val requests = suspects.map { CrashedRequest(it.traits.content, it.answering) }
         if (add(crash, nowMillis(), prompts, requests)) unreportedCrashes += crash
     }
 
--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/PromptQuarantineTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/PromptQuarantineTest.kt
@@ -22,19 +22,19 @@
     private val otherHost = PromptQuarantine { nowMillis }
 
     /**
-     * Returns the fingerprint of a request with [parts]. One that begins with # stands for its content; without any,
+     * Returns the traits of a request with [parts]. One that begins with # stands for its content; without any,
      * requests with the same parts have the same content.
      */
-    private fun fingerprint(parts: String): RequestFingerprint {
+    private fun traits(parts: String): RequestTraits {
         val entries = parts.split(' ')
         val content = entries.find { it.startsWith('#') } ?: parts
-        return RequestFingerprint(
+        return RequestTraits(
             entries.filter(::isOrigin),
             entries.filterNot { isOrigin(it) || it.startsWith('#') },
         ) { contentPart(content) }
     }
 
-    private fun PromptQuarantine.refuses(request: String) = refusedForMillis(fingerprint(request)) != null
+    private fun PromptQuarantine.refuses(request: String) = refusedForMillis(traits(request)) != null
 
     /**
      * Lets an upstream crash [afterMillis] after the last event, with the [requests] of one host; the answers to those
@@ -45,7 +45,7 @@
         afterMillis: Long = 400,
     ) {
         nowMillis += afterMillis
-        val suspects = requests.map { Suspect(fingerprint(it.removePrefix("~")), answering = it.startsWith('~')) }
+        val suspects = requests.map { Suspect(traits(it.removePrefix("~")), answering = it.startsWith('~')) }
         recordCrash(UpstreamId("u${++crashes}"), startedAtMillis = 1, suspects)
         exchangeReports()
     }
@@ -55,7 +55,7 @@
         afterMillis: Long = 100,
     ) {
         nowMillis += afterMillis
-        recordAnswered(fingerprint(prompt))
+        recordAnswered(traits(prompt))
         exchangeReports()
     }
 
@@ -183,6 +183,29 @@
                 otherHost.crash("a b s #d")
                 otherHost.answer("a b s #9")
             },
+            Case(
+                "a request of a caller, not the others of its caller, its route and its parts",
+                refused = listOf("$D $SCRIBE a b s #d"),
+                served = listOf("$D $SCRIBE a b s #1", "$D $SCRIBE a b s #9", "$D $SCRIBE x #9", "$D a #9"),
+            ) {
+                repeat(2) {
+                    quarantine.crash("$D $SCRIBE a b s #d", "$D $SCRIBE a b s #1", "$D $SCRIBE x #2")
+                    quarantine.answer("$D $SCRIBE a b #s$it", afterMillis = 900)
+                }
+                otherHost.crash("$D $SCRIBE a b s #d")
+                otherHost.answer("$D $SCRIBE a b s #8")
+            },
+            Case(
+                "a request without a prompt, not the others of its caller and its route",
+                refused = listOf("$R $C #d"),
+                served = listOf("$R $C #s0", "$R $C #9", "$R $OTHER #9", "$P $PAYING #9"),
+            ) {
+                repeat(2) {
+                    quarantine.crash("$R $C #d", "$R $C #s$it")
+                    quarantine.answer("$R $C #t$it", afterMillis = 900)
+                }
+                otherHost.crash("$R $C #d")
+            },
             Case("a request after three crashes at two times", listOf("a #d"), listOf("a #1")) {
                 quarantine.crash("a #d")
                 quarantine.crash("a #d", afterMillis = 5)
@@ -230,6 +253,8 @@
         const val C = "caller:stalls/lookup"
         const val PAYING = "caller:stalls/pay"
         const val OTHER = "caller:scribes/lookup"
+        const val D = "route:draft"
+        const val SCRIBE = "caller:scribes/draft"
     }
 
     @TestFactory
@@ -277,7 +302,7 @@
     @Test
     fun `the content of a request is not computed while nothing has crashed`() {
         var computed = 0
-        val request = RequestFingerprint(listOf(R, C), emptyList()) { contentPart("x").also { computed++ } }
+        val request = RequestTraits(listOf(R, C), emptyList()) { contentPart("x").also { computed++ } }
         quarantine.recordProgress(request)
         quarantine.recordAnswered(request)
         expectThat(quarantine.refusedForMillis(request)).isEqualTo(null)
@@ -289,7 +314,7 @@
     fun `a caller is served again after a pause that doubles with each crash`() {
         repeat(3) { quarantine.crash("$R $C #x$it") }
         listOf(10_000L, 20_000L, 40_000L).forEachIndexed { index, pauseMillis ->
-            expectThat(quarantine.refusedForMillis(fingerprint("$R $C #y"))).isEqualTo(pauseMillis)
+            expectThat(quarantine.refusedForMillis(traits("$R $C #y"))).isEqualTo(pauseMillis)
             nowMillis += pauseMillis
             expectThat(quarantine.refuses("$R $C #y")).isFalse()
             quarantine.crash("$R $C #z$index", afterMillis = 0)
