Test that a changed limit on idle time holds on open connections

Cause: of the limits that the gateway applies, only that on idle time had no test that changes it under an open connection.

Changed: two cases of ChangedLimitsTest, up and down.

--- a/gateway/src/test/kotlin/io/carawaytrack/gateway/ChangedLimitsTest.kt
+++ b/gateway/src/test/kotlin/io/carawaytrack/gateway/ChangedLimitsTest.kt
@@ -120,6 +120,55 @@
     fun `a limit on bodies that changes holds on open connections, but not for bodies that are half read`() =
         bodies.map { dynamicTest(it.name) { play(it) { bytes -> CallerLimits(maxBodyBytes = bytes.toLong()) } } }
 
+    /** Time that an open connection is idle after its limit has changed, and the limits before and after. */
+    private class IdleCase(
+        val name: String,
+        val beforeMillis: Long,
+        val afterMillis: Long,
+        val isKept: Boolean,
+    )
+
+    private val idle =
+        listOf(
+            IdleCase("a raised limit on idle time keeps a connection open", 5_000, 15_000, isKept = true),
+            IdleCase("a lowered limit on idle time closes a connection", 15_000, 5_000, isKept = false),
+        )
+
+    /** Guards against connections that keep the limit on idle time of the time at which they were opened. */
+    @TestFactory
+    fun `a limit on idle time that changes holds on open connections`() = idle.map { case ->
+        dynamicTest(case.name) {
+            val test = ChangedLimitsTest()
+            try {
+                expectThat(test.isKept(case)).isEqualTo(case.isKept)
+            } finally {
+                test.stop()
+            }
+        }
+    }
+
+    private fun isKept(case: IdleCase): Boolean {
+        serveDone(CallerLimits(idleTimeoutMillis = case.beforeMillis))
+        return FakeCaller(callers).use { caller ->
+            caller.send(request("/lookup/x"))
+            expectThat(caller.response()?.status).isEqualTo(OK)
+            changeLimits(CallerLimits(idleTimeoutMillis = case.afterMillis))
+            advance(IDLE_MILLIS)
+            // Idle connections are looked for at every tenth tick.
+            repeat(TICKS_PER_CHECK) { advance(0) }
+            if (case.isKept) caller.send(request("/lookup/x"))
+            caller.response()?.status == OK
+        }
+    }
+
+    private fun serveDone(limits: CallerLimits) {
+        val respond = { _: RawMessage, out: OutputStream, _: Socket ->
+            true.also { out.send(fullResponse("200 OK", "done")) }
+        }
+        serve(respond)
+        changeLimits(limits)
+    }
+
     private fun play(
         case: LimitCase,
         limits: (Int) -> CallerLimits,
@@ -136,11 +185,7 @@
         case: LimitCase,
         limits: (Int) -> CallerLimits,
     ): String? {
-        val respond = { _: RawMessage, out: OutputStream, _: Socket ->
-            true.also { out.send(fullResponse("200 OK", "done")) }
-        }
-        serve(respond)
-        changeLimits(limits(case.before))
+        serveDone(limits(case.before))
         return FakeCaller(callers).use { caller ->
             caller.send(request("/lookup/x"))
             expectThat(caller.response()?.status).isEqualTo(OK)
@@ -162,5 +207,7 @@
         const val BODY_TOO_LARGE = "413"
         const val TOO_LARGE = "431"
         const val HEADER_BYTES = 100
+        const val IDLE_MILLIS = 10_000L
+        const val TICKS_PER_CHECK = 10
     }
 }
