Use one name for an answer that goes on, and plainer comments

Cause: AnswerWatch called "sound" what its callers call "answering", and some comments of this change needed a second reading.

Changed: names and comments of AnswerWatch, CrashCauses, CrashedRequests, PromptQuarantine and RequestTraits.

Result: CrashingPromptTest, PromptQuarantineTest and ChangedLimitsTest pass; no change in behaviour.

--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/AnswerWatch.kt
@@ -26,7 +26,9 @@
     val pace = StreamPace()
     private var firstEventAtMillis: Long? = null
     private var recordedAtMillis = Long.MIN_VALUE / 2
-    private var sound = false
+
+    /** Whether the current answer goes on for long enough to clear the parts of its prompt. */
+    private var answering = false
     private var crashCount = 0
     private var started = false
 
@@ -41,7 +43,7 @@
         this.work = work
         pace.restart()
         firstEventAtMillis = null
-        sound = false
+        answering = false
     }
 
     /** Records that [count] complete events of the answer have arrived [now]. */
@@ -52,8 +54,8 @@
         pace.eventsReceived(count, now)
         work?.firstEvent(now)
         val firstAtMillis = firstEventAtMillis ?: now.also { firstEventAtMillis = it }
-        sound = now - firstAtMillis >= SOUND_AFTER_MILLIS
-        if (!sound || now - recordedAtMillis < PROGRESS_RECORD_INTERVAL_MILLIS) return
+        answering = now - firstAtMillis >= SOUND_AFTER_MILLIS
+        if (!answering || now - recordedAtMillis < PROGRESS_RECORD_INTERVAL_MILLIS) return
         recordedAtMillis = now
         crashes.recordProgress(request)
     }
@@ -72,10 +74,10 @@
         upstream: FleetUpstream,
         done: () -> Unit,
     ) {
-        val answering = sound
-        if (answering) crashes.recordProgress(request)
-        crashes.check(upstream, request, answering) { crashed ->
-            if (crashed && !answering) crashCount++
+        val wasAnswering = answering
+        if (wasAnswering) crashes.recordProgress(request)
+        crashes.check(upstream, request, wasAnswering) { crashed ->
+            if (crashed && !wasAnswering) crashCount++
             done()
         }
     }
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CallerRequest.kt
@@ -59,7 +59,7 @@
     /** Urgency among the requests of the host, 0 is the most urgent. */
     val rank: Int = rankOf(organisation?.priority, route.priority, ranksByRoute)
 
-    /** What tells this request from others when an upstream crashes. */
+    /** Identity of this request for the quarantine. */
     val traits: RequestTraits by lazy(LazyThreadSafetyMode.NONE) { traitsOf(this) }
 
     /** Whether the gateway selects the model. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashCauses.kt
@@ -1,8 +1,8 @@
 /*
  * Inference of what makes upstreams crash from the requests that were in progress at each crash. Requests and parts of
- * prompts that come back in enough crashes are found first, those that explain most crashes before others: what was
- * merely there each time explains none of its own. If crashes remain on a route that they don't explain, each of its
- * requests may be harmful by itself; then one crash is enough to suspect a request. A caller whose requests were in
+ * prompts that come back in enough crashes are found first, those with most crashes before others; what was in progress
+ * only at crashes that are explained already is no cause. If crashes remain on a route that they don't explain, each of
+ * its requests may be harmful by itself; then one crash is enough to suspect a request. A caller whose requests were in
  * progress at a series of such crashes may send more of them, each with another content. This is inferred only for
  * requests without a prompt: those with one have parts to be found, and an engine has many of them in progress.
  *
@@ -15,7 +15,7 @@
 /** Number of crashes that are taken for a series with a common cause. */
 internal const val CRASHES_IN_SERIES = 3
 
-/** Minimum number of different times in a series under one request: another one may have been there once. */
+/** Minimum number of different times in a series under one request, since one event may take several upstreams. */
 private const val MIN_REQUEST_MOMENTS = 2
 
 /** Time after its last crash for which a request is refused; each trial after it may cost an upstream. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashedRequests.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/CrashedRequests.kt
@@ -17,7 +17,7 @@
 /** Number of remembered requests: the memory that crashes under many different requests may take is some megabytes. */
 private const val MAX_REQUESTS = 4_096
 
-/** Number of remembered crashes of one request: several times those that condemn it. */
+/** Number of remembered crashes of one request: several times those of a series. */
 private const val MAX_CRASHES_PER_REQUEST = 16
 
 /** A crash at which a request was in progress; [answering] states whether its answer had gone on for some time. */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/PromptQuarantine.kt
@@ -1,19 +1,19 @@
 /*
  * Quarantine of requests and prompt parts that crash the upstreams that answer them.
  *
- * A request (see RequestTraits.kt) is condemned by three crashes at two times at which it was in progress, whether or
- * not its answer had begun, unless another request or part explains them. It is cleared by a complete answer to itself
- * within two seconds before a crash or at any time after it, and by nothing else. Ten minutes after its last crash it
- * is tried again, and an hour after it is forgotten.
+ * A request (see RequestTraits.kt) is quarantined after three crashes at two times during which it was in progress,
+ * whether or not its answer had begun, unless another request or part explains them. It is cleared by a complete answer
+ * to itself within two seconds before a crash or at any time after it, and by nothing else. Ten minutes after its last
+ * crash it is tried again, and an hour after it is forgotten.
  *
- * A part of prompts is condemned by three crashes at different times, each at the beginning of an answer to a prompt
- * with it. It is cleared by any answer to a prompt with it that goes on or ends well: requests are refused if they
- * contain a condemned part and all parts that always came with it, so that a request that shares some of those parts
- * can still clear them. A request without a prompt counts as one part.
+ * A part of prompts is quarantined after three crashes at different times, each at the beginning of an answer to a
+ * prompt with it. It is cleared by any answer to a prompt with it that goes on or ends well: requests are refused if
+ * they contain a quarantined part and all parts that always came with it, so that a request that shares some of those
+ * parts can still clear them. A request without a prompt counts as one part.
  *
  * On a route whose crashes have no request or part in common, each implicated request is refused when it comes again. A
  * caller whose requests were in progress at such crashes, and which got few answers meanwhile, is refused on that route
- * for a time that doubles with each crash, since what it sends next cannot be told from what crashed upstreams.
+ * for a time that doubles with each crash, since nothing distinguishes its next requests from those.
  *
  * The quarantine is meant for a few crashes in a minute. It has neither a network nor a timer; hosts exchange reports.
  */
--- a/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestTraits.kt
+++ b/gateway/src/main/kotlin/io/carawaytrack/gateway/RequestTraits.kt
@@ -1,8 +1,8 @@
 /*
- * What the quarantine knows of a request, and what "the same request" is: one with the same content. The content covers
- * the caller (organisation), the method, the path with its query, and the body. It covers neither headers, such as the
- * host, the session and the parts of a prompt, nor the framing of the body, all of which may differ between arrivals.
- * Without a body the prompt is told by its parts only, so these are covered then.
+ * How the quarantine identifies requests. Two arrivals are the same request if their content is equal: the caller
+ * (organisation), the method, the path with its query, and the body. Headers, such as the host, the session and the
+ * parts of a prompt, and the framing of the body may differ between arrivals. The parts belong to the content only if
+ * there is no body, since nothing else distinguishes two prompts then.
  */
 package io.carawaytrack.gateway
 
@@ -17,7 +17,7 @@
 private const val HASH_BUFFER_BYTES = 4_096
 
 /**
- * @property origin entries that tell the request's route and caller
+ * @property origin entries for the request's route and caller
  * @property parts identifiers of its prompt's parts; empty for a request without a prompt
  */
 internal class RequestTraits(
